--- /dev/null
+++ b/Makefile
@@ -0,0 +1,15 @@
+.PHONY: build test lint run
+
+build:
+	cargo build --release --locked
+
+test:
+	cargo test --locked
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --locked --all-targets -- -D warnings
+	RUSTDOCFLAGS="-D warnings" cargo doc --locked --no-deps --lib
+
+run: build
+	exec target/release/brookspur
--- /dev/null
+++ b/src/backend.rs
@@ -0,0 +1,562 @@
+//! Tile servers: frames, and the few connections that carry them.
+
+use std::collections::{HashMap, VecDeque};
+use std::io::{self, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::config::settings::{SiteSettings, load_report};
+use crate::core::{AttemptId, Send};
+use crate::interface::{Effect, LoadReport, ServerId, Time, Verdict};
+use crate::net::outbox::{GATHER, Outbox};
+use crate::net::{Due, Net};
+
+/// Longest frame that is read: a value has to fit into an answer to a client.
+const MAX_FRAME: usize = 64 * 1024;
+/// Connections to one server at the most; one is the rule.
+const MOST_PER_SERVER: usize = 8;
+/// Connections are closed once idle for this share of the servers' limit: from the limit on, what is
+/// written to one ends as a reset.
+const IDLE_SHARE: f64 = 0.8;
+
+/// Something that ended at a server.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Done {
+    /// An attempt.
+    Attempt(AttemptId, Verdict, Option<String>, LoadReport),
+    /// A probe, and how long it took.
+    Probe(ServerId, Verdict, Duration, LoadReport),
+}
+
+struct Server {
+    address: SocketAddr,
+    /// Whether it may be sent anything new.
+    open: bool,
+    links: Vec<usize>,
+}
+
+/// What a frame carries.
+enum Frame {
+    Query(Vec<(String, Send)>),
+    Cancel(String),
+    Probe,
+}
+
+/// A part that a connection answers for.
+struct Carried {
+    attempt: AttemptId,
+    /// Its frame's last byte is written: from here on it may run.
+    written: bool,
+    /// Nobody waits for it any more, but its answer may still come.
+    abandoned: bool,
+}
+
+struct Link {
+    server: ServerId,
+    address: SocketAddr,
+    stream: TcpStream,
+    connected: bool,
+    /// Frames that are not encoded yet, then those that are, in step with the outbox.
+    waiting: VecDeque<Frame>,
+    encoded: VecDeque<Frame>,
+    outbox: Outbox,
+    bytes: Vec<u8>,
+    /// Parts by their id on the wire, which recurs over a part's attempts.
+    parts: HashMap<String, Carried>,
+    probes: VecDeque<Time>,
+    last_used: Time,
+    /// Whether the poller was asked for writability.
+    asked_write: bool,
+    /// The number of the step whose sends may still join the last frame.
+    step: u64,
+}
+
+/// All connections to tile servers.
+pub struct Backend {
+    settings: Arc<SiteSettings>,
+    most: usize,
+    servers: HashMap<ServerId, Server>,
+    links: HashMap<usize, Link>,
+    /// Which connection answers for an attempt.
+    attempts: HashMap<AttemptId, usize>,
+    touched: Vec<usize>,
+    step: u64,
+    /// What has ended and has not been taken yet.
+    pub done: Vec<Done>,
+}
+
+impl Backend {
+    /// No connections yet, and `most` of them at any time.
+    pub fn new(settings: Arc<SiteSettings>, most: usize) -> Self {
+        Backend {
+            settings,
+            most,
+            servers: HashMap::new(),
+            links: HashMap::new(),
+            attempts: HashMap::new(),
+            touched: Vec::new(),
+            step: 0,
+            done: Vec::new(),
+        }
+    }
+
+    /// A server may be sent to at this address; connections to an older one get nothing new.
+    pub fn open(&mut self, server: ServerId, address: SocketAddr) {
+        let links = self.servers.remove(&server).map(|s| s.links).unwrap_or_default();
+        self.servers.insert(server, Server { address, open: true, links });
+    }
+
+    /// A server may be sent nothing new: what is queued and not begun comes back unsent. A send counts
+    /// from its first byte, so a frame that was begun is finished.
+    pub fn shut(&mut self, server: ServerId) {
+        let Some(state) = self.servers.get_mut(&server) else { return };
+        state.open = false;
+        for key in state.links.clone() {
+            let Some(link) = self.links.get_mut(&key) else { continue };
+            let mut unsent = link.waiting.drain(..).collect::<Vec<_>>();
+            while link.encoded.len() > link.outbox.begun() {
+                let last = link.encoded.len() - 1;
+                link.outbox.replace(last, None);
+                unsent.extend(link.encoded.pop_back());
+            }
+            for frame in unsent {
+                match frame {
+                    Frame::Query(parts) => {
+                        for (name, send) in parts {
+                            link.parts.remove(&name);
+                            finish(&mut self.attempts, &mut self.done, send.attempt, Verdict::NoConnection);
+                        }
+                    }
+                    Frame::Probe => drop(link.probes.pop_back()),
+                    // Word that a part is given up is nothing new, and still of use.
+                    Frame::Cancel(name) => link.waiting.push_back(Frame::Cancel(name)),
+                }
+            }
+        }
+    }
+
+    /// Queues an attempt; it is written by [`Backend::flush`].
+    pub fn send(&mut self, net: &mut Net, now: Time, send: Send) {
+        let name = format!("{}.{}", send.query, send.shard);
+        let Some(key) = self.link_for(net, now, send.server, &name) else {
+            self.done.push(Done::Attempt(send.attempt, Verdict::NoConnection, None, LoadReport::default()));
+            return;
+        };
+        let Some(link) = self.links.get_mut(&key) else { return };
+        let (attempt, step) = (send.attempt, self.step);
+        link.parts.insert(name.clone(), Carried { attempt, written: false, abandoned: false });
+        self.attempts.insert(attempt, key);
+        let batch = self.settings.module.batch as usize;
+        match link.waiting.back_mut() {
+            Some(Frame::Query(parts)) if link.step == step && parts.len() < batch => parts.push((name, send)),
+            _ => link.waiting.push_back(Frame::Query(vec![(name, send)])),
+        }
+        link.step = step;
+        self.touched.push(key);
+    }
+
+    /// Sends a probe; its result comes like any other.
+    pub fn probe(&mut self, net: &mut Net, now: Time, server: ServerId) {
+        match self.link_for(net, now, server, "") {
+            Some(key) => {
+                if let Some(link) = self.links.get_mut(&key) {
+                    link.waiting.push_back(Frame::Probe);
+                    link.probes.push_back(now);
+                }
+                self.touched.push(key);
+            }
+            None => {
+                let load = LoadReport::default();
+                self.done.push(Done::Probe(server, Verdict::NoConnection, Duration::ZERO, load));
+            }
+        }
+    }
+
+    /// Stops waiting for an attempt, with this verdict if it may have run.
+    pub fn give_up(&mut self, attempt: AttemptId, verdict: Verdict) {
+        let Some(&key) = self.attempts.get(&attempt) else { return };
+        let Some(link) = self.links.get_mut(&key) else { return };
+        if link.take_back(attempt, &self.settings) {
+            finish(&mut self.attempts, &mut self.done, attempt, Verdict::NotSent);
+            return;
+        }
+        let Some((name, part)) = link.parts.iter_mut().find(|(_, part)| part.attempt == attempt) else {
+            return;
+        };
+        part.abandoned = true;
+        link.waiting.push_back(Frame::Cancel(name.clone()));
+        self.touched.push(key);
+        finish(&mut self.attempts, &mut self.done, attempt, verdict);
+    }
+
+    /// Closes the idle connections to a server.
+    pub fn close_idle(&mut self, net: &Net, server: ServerId) {
+        let links = self.servers.get(&server).map(|s| s.links.clone()).unwrap_or_default();
+        for key in links {
+            if self.links.get(&key).is_some_and(Link::is_idle) {
+                self.drop_link(net, key);
+            }
+        }
+    }
+
+    /// Writes what was queued; the step's frames are complete with this.
+    pub fn flush(&mut self, net: &mut Net, now: Time) {
+        self.step += 1;
+        for key in std::mem::take(&mut self.touched) {
+            let Some(link) = self.links.get_mut(&key).filter(|link| link.connected) else { continue };
+            match link.write(now, &self.settings) {
+                Ok(()) => self.ask(net, key, false),
+                Err(_) => self.drop_link(net, key),
+            }
+        }
+    }
+
+    /// Does what a connection is ready for. Gives whether the key is one of a connection here.
+    pub fn ready(&mut self, net: &mut Net, now: Time, key: usize, readable: bool) -> bool {
+        let Some(link) = self.links.get_mut(&key) else { return false };
+        let mut result = Ok(());
+        if !link.connected {
+            result = crate::net::connected(&link.stream).map(|up| link.connected = up);
+            link.last_used = now;
+        }
+        if result.is_ok() && link.connected {
+            result = link.write(now, &self.settings);
+            // What came before the end counts, so reading goes on where writing failed.
+            if readable || result.is_err() {
+                result = result.and(link.read(now));
+            }
+        }
+        let answers = link.frames();
+        let server = link.server;
+        for frame in answers.as_deref().unwrap_or_default() {
+            self.answer(now, key, server, frame);
+        }
+        match (result, answers) {
+            (Ok(()), Some(_)) => self.ask(net, key, true),
+            _ => self.drop_link(net, key),
+        }
+        true
+    }
+
+    /// The time for a connection to come up is over.
+    pub fn connect_time_out(&mut self, net: &Net, key: usize) {
+        if self.links.get(&key).is_some_and(|link| !link.connected) {
+            self.drop_link(net, key);
+        }
+    }
+
+    /// Closes connections that stood idle for long, or that lead to an address of old.
+    pub fn sweep(&mut self, net: &Net, now: Time) {
+        let stale = |(key, link): (&usize, &Link)| {
+            let gone = self.servers.get(&link.server).is_none_or(|s| !s.open || s.address != link.address);
+            (link.is_idle() && (gone || self.is_stale(link, now))).then_some(*key)
+        };
+        for key in self.links.iter().filter_map(stale).collect::<Vec<_>>() {
+            self.drop_link(net, key);
+        }
+        self.servers.retain(|_, server| server.open || !server.links.is_empty());
+    }
+
+    fn is_stale(&self, link: &Link, now: Time) -> bool {
+        link.is_idle() && now.since(link.last_used) >= self.settings.connection_idle.mul_f64(IDLE_SHARE)
+    }
+
+    /// A connection that may carry a part of this name, a new one if need be.
+    fn link_for(&mut self, net: &mut Net, now: Time, id: ServerId, name: &str) -> Option<usize> {
+        let server = self.servers.get(&id).filter(|server| server.open)?;
+        let address = server.address;
+        let fits = |key: &&usize| {
+            self.links.get(key).is_some_and(|link| {
+                // An earlier attempt of the part that was given up may yet be answered, under the same id:
+                // on another connection the two can't be mixed up.
+                link.address == address
+                    && link.parts.len() < self.settings.max_streams
+                    && !link.parts.contains_key(name)
+                    && !self.is_stale(link, now)
+            })
+        };
+        if let Some(key) = server.links.iter().find(fits) {
+            return Some(*key);
+        }
+        if server.links.len() >= MOST_PER_SERVER {
+            return None;
+        }
+        if self.links.len() >= self.most {
+            // Room for a server that is needed goes before a connection that is not.
+            let idle = self.links.iter().filter(|(_, link)| link.is_idle());
+            let oldest = idle.min_by_key(|(_, link)| link.last_used).map(|(key, _)| *key)?;
+            self.drop_link(net, oldest);
+        }
+        let stream = crate::net::connect(address).ok()?;
+        let key = net.new_key();
+        net.poll.add(&stream, key, true, true).ok()?;
+        net.wheel.arm(now.after(self.settings.connect_time_out), Due::Connect(key));
+        let link = Link {
+            server: id,
+            address,
+            stream,
+            connected: false,
+            waiting: VecDeque::new(),
+            encoded: VecDeque::new(),
+            outbox: Outbox::default(),
+            bytes: Vec::new(),
+            parts: HashMap::new(),
+            probes: VecDeque::new(),
+            last_used: now,
+            asked_write: true,
+            step: 0,
+        };
+        self.links.insert(key, link);
+        self.servers.get_mut(&id)?.links.push(key);
+        Some(key)
+    }
+
+    /// Asks the poller for what a connection waits for.
+    fn ask(&mut self, net: &Net, key: usize, reported: bool) {
+        let Some(link) = self.links.get_mut(&key) else { return };
+        let write = !link.connected || !link.outbox.is_empty();
+        if reported || write != link.asked_write {
+            link.asked_write = write;
+            if net.poll.ask(&link.stream, key, true, write).is_err() {
+                self.drop_link(net, key);
+            }
+        }
+    }
+
+    /// Ends a connection. Whether a part's last byte was written decides if it may have run.
+    fn drop_link(&mut self, net: &Net, key: usize) {
+        let Some(link) = self.links.remove(&key) else { return };
+        net.poll.remove(&link.stream);
+        if let Some(server) = self.servers.get_mut(&link.server) {
+            server.links.retain(|k| *k != key);
+        }
+        let mut parts: Vec<Carried> = link.parts.into_values().filter(|part| !part.abandoned).collect();
+        parts.sort_by_key(|part| part.attempt);
+        for part in parts {
+            let verdict = if part.written { Verdict::ConnectionLost } else { Verdict::NoConnection };
+            finish(&mut self.attempts, &mut self.done, part.attempt, verdict);
+        }
+        for _ in link.probes {
+            let verdict = if link.connected { Verdict::ConnectionLost } else { Verdict::NoConnection };
+            self.done.push(Done::Probe(link.server, verdict, Duration::ZERO, LoadReport::default()));
+        }
+    }
+
+    /// Takes one frame from a server.
+    fn answer(&mut self, now: Time, key: usize, server: ServerId, frame: &[u8]) {
+        let Some(link) = self.links.get_mut(&key) else { return };
+        match frame.split_first() {
+            Some((b'a', rest)) => {
+                let Some((name, verdict, value, load)) = read_answer(rest) else {
+                    eprintln!("brookspur: an answer could not be read");
+                    return;
+                };
+                // One that was given up is disregarded: its attempt has had its outcome.
+                if let Some(part) = link.parts.remove(name).filter(|part| !part.abandoned)
+                    && self.attempts.remove(&part.attempt).is_some()
+                {
+                    self.done.push(Done::Attempt(part.attempt, verdict, value, load));
+                }
+            }
+            Some((b'p' | b'l', rest)) => {
+                let Some(sent) = link.probes.pop_front() else { return };
+                let (verdict, load) = match rest {
+                    b"broke" => (Verdict::Error, LoadReport::default()),
+                    report => (Verdict::Served, read_report(&String::from_utf8_lossy(report))),
+                };
+                self.done.push(Done::Probe(server, verdict, now.since(sent), load));
+            }
+            Some((b'e', words)) => {
+                eprintln!("brookspur: a frame was not understood: {}", String::from_utf8_lossy(words));
+            }
+            _ => {}
+        }
+    }
+
+    /// Connections that are held.
+    pub fn held(&self) -> usize {
+        self.links.len()
+    }
+}
+
+fn finish(
+    attempts: &mut HashMap<AttemptId, usize>,
+    done: &mut Vec<Done>,
+    attempt: AttemptId,
+    verdict: Verdict,
+) {
+    if attempts.remove(&attempt).is_some() {
+        done.push(Done::Attempt(attempt, verdict, None, LoadReport::default()));
+    }
+}
+
+impl Link {
+    /// Whether nothing is out or queued that anyone waits for.
+    fn is_idle(&self) -> bool {
+        self.connected
+            && self.outbox.is_empty()
+            && self.waiting.is_empty()
+            && self.probes.is_empty()
+            && self.parts.values().all(|part| part.abandoned)
+    }
+
+    /// Writes what the socket takes.
+    fn write(&mut self, now: Time, settings: &SiteSettings) -> io::Result<()> {
+        loop {
+            while self.outbox.len() < GATHER
+                && let Some(frame) = self.waiting.pop_front()
+            {
+                self.outbox.push(encode(&frame, now, settings));
+                self.encoded.push_back(frame);
+            }
+            if self.outbox.is_empty() {
+                return Ok(());
+            }
+            let before = self.outbox.finished();
+            let result = self.outbox.flush(&mut self.stream);
+            for _ in before..self.outbox.finished() {
+                self.last_used = now;
+                if let Some(Frame::Query(parts)) = self.encoded.pop_front() {
+                    for (name, _) in parts {
+                        self.parts.entry(name).and_modify(|part| part.written = true);
+                    }
+                }
+            }
+            if !result? {
+                return Ok(());
+            }
+        }
+    }
+
+    fn read(&mut self, now: Time) -> io::Result<()> {
+        let mut buffer = [0; 16 * 1024];
+        loop {
+            match self.stream.read(&mut buffer) {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(read) => {
+                    self.last_used = now;
+                    self.bytes.extend_from_slice(&buffer[..read]);
+                    // The rest is reported again, once these frames are taken.
+                    if self.bytes.len() > MAX_FRAME + buffer.len() {
+                        return Ok(());
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// Takes the whole frames out of what was read; none if one is longer than any may be.
+    fn frames(&mut self) -> Option<Vec<Vec<u8>>> {
+        let (mut frames, mut at) = (Vec::new(), 0);
+        while let Some((length, rest)) = self.bytes[at..].split_first_chunk::<4>() {
+            let length = u32::from_be_bytes(*length) as usize;
+            if length == 0 || length > MAX_FRAME {
+                return None;
+            }
+            let Some(frame) = rest.get(..length) else { break };
+            frames.push(frame.to_vec());
+            at += 4 + length;
+        }
+        self.bytes.drain(..at);
+        Some(frames)
+    }
+
+    /// Takes an attempt back whose frame has not been begun.
+    fn take_back(&mut self, attempt: AttemptId, settings: &SiteSettings) -> bool {
+        let begun = self.outbox.begun();
+        let encoded = self.encoded.iter_mut().enumerate().skip(begun);
+        for (index, frame) in encoded {
+            let Some((name, left)) = without(frame, attempt) else { continue };
+            self.parts.remove(&name);
+            if left == 0 {
+                self.outbox.replace(index, None);
+                self.encoded.remove(index);
+            } else {
+                let bytes = encode(frame, self.last_used, settings);
+                self.outbox.replace(index, Some(bytes));
+            }
+            return true;
+        }
+        for index in 0..self.waiting.len() {
+            let Some((name, left)) = without(&mut self.waiting[index], attempt) else { continue };
+            self.parts.remove(&name);
+            if left == 0 {
+                self.waiting.remove(index);
+            }
+            return true;
+        }
+        false
+    }
+}
+
+/// Takes an attempt out of a frame: its id on the wire, and how many are left.
+fn without(frame: &mut Frame, attempt: AttemptId) -> Option<(String, usize)> {
+    let Frame::Query(parts) = frame else { return None };
+    let at = parts.iter().position(|(_, send)| send.attempt == attempt)?;
+    let (name, _) = parts.remove(at);
+    Some((name, parts.len()))
+}
+
+/// A frame as it goes over the wire.
+fn encode(frame: &Frame, now: Time, settings: &SiteSettings) -> Vec<u8> {
+    let mut bytes = vec![0; 4];
+    match frame {
+        Frame::Query(parts) => {
+            bytes.push(b'q');
+            for (name, send) in parts {
+                let wait = send.until.since(now).as_millis().max(1);
+                let list = match &send.idempotency {
+                    Some(key) => format!("d={wait},k={key}"),
+                    None => format!("d={wait}"),
+                };
+                let line = format!("{name} {} {list} {}\n", send.shard, send.text.len());
+                bytes.extend_from_slice(line.as_bytes());
+                bytes.extend_from_slice(send.text.as_bytes());
+            }
+        }
+        Frame::Cancel(name) => {
+            bytes.push(b'c');
+            bytes.extend_from_slice(name.as_bytes());
+        }
+        Frame::Probe => bytes.push(if settings.module.reports_by_probe { b'l' } else { b'p' }),
+    }
+    let length = u32::try_from(bytes.len() - 4).unwrap_or(u32::MAX);
+    bytes[..4].copy_from_slice(&length.to_be_bytes());
+    bytes
+}
+
+/// The id, verdict, value and load report of an answer.
+fn read_answer(rest: &[u8]) -> Option<(&str, Verdict, Option<String>, LoadReport)> {
+    let end = rest.iter().position(|&byte| byte == b'\n')?;
+    let mut words = std::str::from_utf8(&rest[..end]).ok()?.split(' ');
+    let (name, verdict, _score) = (words.next()?, words.next()?, words.next());
+    let load = read_report(words.next().unwrap_or("-"));
+    Some(match verdict {
+        // A value that is not text can't be passed on unchanged, and nothing else may be passed on.
+        "served" => match std::str::from_utf8(&rest[end + 1..]) {
+            Ok(value) => (name, Verdict::Served, Some(value.to_owned()), load),
+            Err(_) => (name, Verdict::Error, None, load),
+        },
+        "skipped" => (name, Verdict::TurnedAway, None, load),
+        _ => (name, Verdict::Error, None, load),
+    })
+}
+
+/// A load report: `name=value`, apart from each other by commas or semicolons.
+fn read_report(text: &str) -> LoadReport {
+    let pairs: HashMap<&str, f64> = text
+        .split([',', ';'])
+        .filter_map(|pair| pair.split_once('='))
+        .filter_map(|(name, value)| Some((name.trim(), value.trim().parse().ok()?)))
+        .collect();
+    load_report(|name| pairs.get(name).copied())
+}
+
+/// Whether a class's parts carry the query's idempotency key.
+pub fn is_keyed(effect: Effect) -> bool {
+    matches!(effect, Effect::Keyed(_))
+}
--- a/src/bin/brookspur-adapter/wire.rs
+++ b/src/bin/brookspur-adapter/wire.rs
@@ -4,9 +4,10 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::Duration;
 
+use brookspur::config::settings::{SiteSettings, load_report};
 use brookspur::{
-    Action, Budget, Class, ColdStart, Effect, Event, Listed, LoadReport, Part, PartId, Query, QueryId,
-    QueryNumber, Router, ServerId, ServerState, Settings, ShardId, Tenant, Time, TimerId, Verdict,
+    Action, Event, Listed, LoadReport, Part, PartId, Query, QueryId, QueryNumber, Router, ServerId,
+    ServerState, ShardId, Time, TimerId, Verdict,
 };
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -72,8 +73,8 @@
     fn start(&self, message: &Message) -> Result<Result<Router, Fault>, Fault> {
         let seed = message.integer(2, "rngSeed")?;
         let facts = message.0.get(3).ok_or("init: no facts")?;
-        let facts = Facts::deserialize(facts).map_err(|error| format!("init: facts: {error}"))?;
-        Ok(Router::new(facts.settings()?, seed).map_err(|error| error.to_string()))
+        let facts = SiteSettings::read(facts).map_err(|error| format!("init: facts: {error}"))?;
+        Ok(Router::new(facts.module, seed).map_err(|error| error.to_string()))
     }
 
     fn step(&mut self, instance: u64, now: Time, events: &[Event], replies: &mut Vec<Value>) {
@@ -214,13 +215,7 @@
     }
 
     fn load(&self, at: usize) -> LoadReport {
-        let value = |name: &str| self.value(at).get(name).and_then(Value::as_f64);
-        LoadReport {
-            held: value("busy_reqs"),
-            waiting: value("pending"),
-            utilisation: value("cpu_share"),
-            service_seconds: value("svc_ms").map(|ms| ms / 1e3),
-        }
+        load_report(|name| self.value(at).get(name).and_then(Value::as_f64))
     }
 
     fn discovery(&self, lists: &BTreeMap<u64, Vec<Listed>>) -> Result<Event, Fault> {
@@ -264,177 +259,3 @@
             .collect()
     }
 }
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Facts {
-    balancers: u32,
-    #[serde(default)]
-    locality: u32,
-    granularity_ns: u64,
-    #[serde(default)]
-    clients: Clients,
-    registry_mode: String,
-    profiles: Vec<Profile>,
-    #[serde(default)]
-    tenants: Vec<TenantFacts>,
-    #[serde(default)]
-    over_share_worth: Option<f64>,
-    extra: Extra,
-    limits: Limits,
-    #[serde(default)]
-    stats: Stats,
-    safety: Safety,
-    #[serde(default)]
-    prices: Prices,
-}
-
-#[derive(Default, Deserialize)]
-struct Stats {
-    #[serde(default)]
-    columns: Vec<String>,
-    #[serde(default)]
-    how: String,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Clients {
-    #[serde(default)]
-    marks_retry: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Profile {
-    aim_ns: u64,
-    deadline_ns: u64,
-    effect: String,
-    #[serde(default)]
-    window_ns: u64,
-    #[serde(default)]
-    late_share: f64,
-    credit: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct TenantFacts {
-    quota_per_s: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Extra {
-    batch: u32,
-    call_ns: u64,
-    sets: u32,
-    slices: u32,
-    width: u32,
-    follow_up: Vec<u32>,
-    least_share: Vec<f64>,
-    need_by_class: Vec<f64>,
-    incomplete_worth: Vec<f64>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Limits {
-    cancel: bool,
-    #[serde(default)]
-    may_probe: bool,
-    max_attempts: u32,
-    #[serde(default)]
-    max_retry_after_ns: u64,
-    #[serde(default)]
-    retry_after: bool,
-    second_copies: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Safety {
-    cold_from: f64,
-    cold_ns: u64,
-    fall_multiple: f64,
-    overload_for_ns: u64,
-    budget_span_ns: Option<u64>,
-    extra_free: Option<f64>,
-    repeat_ratio: Option<f64>,
-}
-
-impl Facts {
-    fn settings(&self) -> Result<Settings, Fault> {
-        let span = Duration::from_nanos;
-        let safety = &self.safety;
-        Ok(Settings {
-            front_nodes: self.balancers,
-            zone: self.locality,
-            classes: (0..self.profiles.len()).map(|index| self.class(index)).collect::<Result<_, _>>()?,
-            tenants: self.tenants.iter().map(|t| Tenant { quota_per_second: t.quota_per_s }).collect(),
-            over_share_worth: self.over_share_worth.unwrap_or(1.0),
-            shards: self.extra.slices,
-            cells: self.extra.sets,
-            width: self.extra.width,
-            batch: self.extra.batch,
-            call_cost: span(self.extra.call_ns),
-            tick: span(self.granularity_ns),
-            max_attempts: self.limits.max_attempts,
-            second_copies: self.limits.second_copies,
-            cancel: self.limits.cancel,
-            may_probe: self.limits.may_probe,
-            reports_by_probe: self.stats.how == "probe",
-            reports_queue: self.stats.columns.iter().any(|c| c == "pending" || c == "busy_reqs"),
-            repeats_marked: self.clients.marks_retry,
-            max_hold_off: match self.limits.retry_after {
-                true => span(self.limits.max_retry_after_ns),
-                false => Duration::ZERO,
-            },
-            list_on_request: match self.registry_mode.as_str() {
-                "pushed" => false,
-                "on_request" => true,
-                other => return Err(format!("init: facts: unknown registryMode {other:?}")),
-            },
-            cross_zone_price: self.prices.cross_zone,
-            budget: safety.budget_span_ns.map(|window| Budget {
-                window: span(window),
-                free: safety.extra_free.unwrap_or(0.0),
-                share: safety.repeat_ratio.unwrap_or(0.0),
-            }),
-            cold: ColdStart {
-                from: safety.cold_from,
-                warm_after: span(safety.cold_ns),
-                fall_multiple: safety.fall_multiple,
-                window: span(safety.overload_for_ns),
-            },
-        })
-    }
-
-    fn class(&self, index: usize) -> Result<Class, Fault> {
-        let profile = &self.profiles[index];
-        let short = || format!("init: facts: extra has no figures for class {index}");
-        Ok(Class {
-            aim: Duration::from_nanos(profile.aim_ns),
-            deadline: Duration::from_nanos(profile.deadline_ns),
-            worth: profile.credit,
-            late_share: profile.late_share,
-            effect: match profile.effect.as_str() {
-                "safe" => Effect::Safe,
-                "keyed" => Effect::Keyed(Duration::from_nanos(profile.window_ns)),
-                "unsafe" => Effect::Unsafe,
-                other => return Err(format!("init: facts: unknown effect {other:?}")),
-            },
-            need: *self.extra.need_by_class.get(index).ok_or_else(short)?,
-            floor: *self.extra.least_share.get(index).ok_or_else(short)?,
-            partial_worth: *self.extra.incomplete_worth.get(index).ok_or_else(short)?,
-            follow_up: *self.extra.follow_up.get(index).ok_or_else(short)?,
-        })
-    }
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Prices {
-    #[serde(default)]
-    cross_zone: f64,
-}
--- /dev/null
+++ b/src/broker.rs
@@ -0,0 +1,430 @@
+//! The broker's loop: it gathers what is ready, hands it to the core in one step, and carries out
+//! what comes back, in order.
+
+use std::collections::HashMap;
+use std::io::{self, Read};
+use std::net::TcpListener;
+use std::os::unix::net::UnixStream;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::backend::{Backend, Done};
+use crate::config::Config;
+use crate::config::settings::SiteSettings;
+use crate::core::{Command, Core, Final, NotTaken, Ticket};
+use crate::discovery::{Listing, Watch};
+use crate::front::platform::{self, Asked};
+use crate::interface::{Time, Verdict};
+use crate::net::client::{Client, Fate};
+use crate::net::clock::Clock;
+use crate::net::http::{MAX_BODY, MAX_HEAD, Response};
+use crate::net::{Due, Net};
+
+const LISTEN: usize = 0;
+const SIGNAL: usize = 1;
+const WATCH: usize = 2;
+
+/// Descriptors for all but clients and tile servers: standard streams, poller, signal, listeners, watch.
+const RESERVED: usize = 24;
+/// A client may cost so much memory at the worst: a request and its body, as they came and decoded.
+const CLIENT_MEMORY: usize = MAX_HEAD + 2 * MAX_BODY + 16 * 1024;
+/// Share of the memory that clients' buffers may take.
+const CLIENT_SHARE: usize = 2;
+/// How often idle connections are looked over.
+const SWEEP: Duration = Duration::from_millis(500);
+/// A client that has begun a request has to end it in this time, and a connection that was closed in one
+/// direction is dropped after it.
+const REQUEST_TIME: Duration = Duration::from_secs(10);
+/// Clients' connections are closed when idle for so long.
+const CLIENT_IDLE: Duration = Duration::from_secs(120);
+/// After SIGTERM clients still come for a while; so long they are listened to.
+const LAST_LISTENING: Duration = Duration::from_millis(500);
+/// Connections accepted at once, before those that are ready get their turn.
+const ACCEPTS: usize = 64;
+
+/// A broker on its sockets.
+pub struct Broker {
+    settings: Arc<SiteSettings>,
+    net: Net,
+    core: Core,
+    backend: Backend,
+    watch: Watch,
+    /// When discovery is to be tended next; timers set for earlier are void.
+    watch_at: Time,
+    listener: Option<TcpListener>,
+    signal: UnixStream,
+    clients: HashMap<usize, Client<()>>,
+    most_clients: usize,
+    /// Whether the listener waits for a client to leave.
+    crowded: bool,
+    stopping: bool,
+    last_step: Time,
+    /// What the step under way wants done.
+    commands: Vec<Command>,
+}
+
+impl Broker {
+    /// Binds the sockets and takes the list of old.
+    ///
+    /// # Errors
+    ///
+    /// When the configuration can't be followed.
+    pub fn start(config: Config) -> io::Result<Self> {
+        let invalid = |fault: String| io::Error::new(io::ErrorKind::InvalidInput, fault);
+        let clock = Clock::start();
+        let mut net = Net::new(clock)?;
+        let settings = Arc::new(config.settings);
+        let mut core =
+            Core::new(settings.clone(), config.seed).map_err(|error| invalid(error.to_string()))?;
+        let backend_links = config.bounds.sockets / 4;
+        let by_memory = config.bounds.memory_mb * 1024 * 1024 / CLIENT_SHARE / CLIENT_MEMORY;
+        let most_clients = (config.bounds.sockets - RESERVED - backend_links).min(by_memory).max(1);
+        let mut backend = Backend::new(settings.clone(), backend_links);
+        let known = config.known.as_ref().map(|known| Listing::from_value(known, &clock)).transpose();
+        let known = known.map_err(|fault| invalid(format!("known.{fault}")))?;
+        let index = known.as_ref().map_or(0, |list| list.index);
+        if let Some(mut list) = known {
+            list.whole = true;
+            take_list(&mut core, &mut backend, &list);
+        }
+        let listener = TcpListener::bind(config.listen)?;
+        listener.set_nonblocking(true)?;
+        net.poll.add(&listener, LISTEN, true, false)?;
+        let (signal, sender) = UnixStream::pair()?;
+        signal.set_nonblocking(true)?;
+        sender.set_nonblocking(true)?;
+        signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, sender)?;
+        net.poll.add(&signal, SIGNAL, true, false)?;
+        let now = clock.now();
+        net.wheel.arm(now, Due::Watch);
+        net.wheel.arm(now.after(SWEEP), Due::Sweep);
+        eprintln!("brookspur: {} listens on {}", config.name, listener.local_addr()?);
+        Ok(Broker {
+            settings,
+            net,
+            core,
+            backend,
+            watch: Watch::new(config.discovery, index, clock),
+            watch_at: now,
+            listener: Some(listener),
+            signal,
+            clients: HashMap::new(),
+            most_clients,
+            crowded: false,
+            stopping: false,
+            last_step: Time(0),
+            commands: Vec::new(),
+        })
+    }
+
+    /// Serves until SIGTERM has come and all that was taken is answered.
+    ///
+    /// # Errors
+    ///
+    /// When the poller fails.
+    pub fn run(mut self) -> io::Result<()> {
+        let (mut ready, mut due) = (Vec::new(), Vec::new());
+        while !(self.stopping && self.listener.is_none() && self.is_done()) {
+            let now = self.net.clock.now();
+            let step = self.core.has_news().then(|| self.last_step.after(self.settings.module.tick));
+            let wake = self.net.wheel.next().into_iter().chain(step).min();
+            self.net.poll.wait(wake.map(|at| at.since(now)), &mut ready)?;
+            let now = self.net.clock.now();
+            for report in ready.drain(..) {
+                self.ready(now, report.key, report.readable);
+            }
+            self.net.wheel.expire(now, &mut due);
+            for what in due.drain(..) {
+                self.due(now, what);
+            }
+            self.gather(now);
+            if self.core.has_news() && now.since(self.last_step) >= self.settings.module.tick {
+                self.step(now);
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether nothing taken is left to answer.
+    fn is_done(&self) -> bool {
+        self.core.open() == 0 && !self.clients.values().any(|client| client.wants_write())
+    }
+
+    fn ready(&mut self, now: Time, key: usize, readable: bool) {
+        match key {
+            LISTEN => self.accept(now),
+            SIGNAL => self.stop(now),
+            WATCH => self.watch_ready(now),
+            _ if self.backend.ready(&mut self.net, now, key, readable) => {}
+            _ => self.client_ready(now, key),
+        }
+    }
+
+    fn due(&mut self, now: Time, what: Due) {
+        match what {
+            Due::Module(timer) => self.core.timer(timer),
+            Due::Deadline(query) => {
+                if let Some(command) = self.core.deadline(now, query) {
+                    self.carry_out(now, command);
+                }
+            }
+            Due::TimeOut(attempt) => self.backend.give_up(attempt, Verdict::NoAnswer),
+            Due::Connect(key) => self.backend.connect_time_out(&self.net, key),
+            Due::Watch if now < self.watch_at => {}
+            Due::Watch => self.tend_watch(now),
+            Due::Sweep => self.sweep(now),
+            Due::StopListening => self.stop_listening(now),
+        }
+    }
+
+    /// Hands what ended at the servers to the core.
+    fn gather(&mut self, now: Time) {
+        self.backend.flush(&mut self.net, now);
+        for done in self.backend.done.drain(..) {
+            match done {
+                Done::Attempt(id, verdict, value, load) => self.core.outcome(now, id, verdict, value, load),
+                Done::Probe(server, verdict, took, load) => self.core.probed(server, verdict, took, load),
+            }
+        }
+    }
+
+    fn step(&mut self, now: Time) {
+        self.last_step = now;
+        let mut commands = std::mem::take(&mut self.commands);
+        self.core.step(now, &mut commands);
+        for command in commands.drain(..) {
+            self.carry_out(now, command);
+        }
+        self.commands = commands;
+        self.gather(now);
+    }
+
+    fn carry_out(&mut self, now: Time, command: Command) {
+        match command {
+            Command::Send(send) => {
+                self.net.wheel.arm(send.until, Due::TimeOut(send.attempt));
+                self.backend.send(&mut self.net, now, send);
+            }
+            Command::Cancel(attempt) => self.backend.give_up(attempt, Verdict::Cancelled),
+            Command::CloseIdle(server) => self.backend.close_idle(&self.net, server),
+            Command::Probe(server) => self.backend.probe(&mut self.net, now, server),
+            Command::Finish(ticket, last) => self.finish(now, ticket, last),
+            Command::Arm(at, timer) => self.net.wheel.arm(at, Due::Module(timer)),
+            Command::ArmDeadline(at, query) => self.net.wheel.arm(at, Due::Deadline(query)),
+            // The watch goes on by itself.
+            Command::WatchServers => {}
+        }
+    }
+
+    fn finish(&mut self, now: Time, ticket: Ticket, last: Final) {
+        let key = ticket.0 as usize;
+        let Some(client) = self.clients.get_mut(&key) else { return };
+        client.open = None;
+        let keep_alive = client.keep_alive && !self.stopping;
+        client.answer(platform::answer(last), keep_alive);
+        self.serve(now, key);
+    }
+
+    fn accept(&mut self, now: Time) {
+        for _ in 0..ACCEPTS {
+            if self.clients.len() >= self.most_clients && !self.make_room() {
+                self.crowded = true;
+                return;
+            }
+            let Some(listener) = &self.listener else { return };
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let key = self.net.new_key();
+                    let fit = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
+                    if fit.and_then(|()| self.net.poll.add(&stream, key, true, false)).is_ok() {
+                        self.clients.insert(key, Client::new(stream, LISTEN, now));
+                        self.client_ready(now, key);
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                // Out of descriptors, or the client has left: those that wait come with the next report.
+                Err(_) => break,
+            }
+        }
+        if let Some(listener) = &self.listener {
+            let _ = self.net.poll.ask(listener, LISTEN, true, false);
+        }
+    }
+
+    /// Closes the client's connection that has been idle longest.
+    fn make_room(&mut self) -> bool {
+        let idle = self.clients.iter().filter(|(_, client)| client.is_idle());
+        let Some(key) = idle.min_by_key(|(_, client)| client.since).map(|(key, _)| *key) else {
+            return false;
+        };
+        self.drop_client(key);
+        true
+    }
+
+    fn client_ready(&mut self, now: Time, key: usize) {
+        let Some(client) = self.clients.get_mut(&key) else { return };
+        match client.read(now) {
+            Fate::Over => self.drop_client(key),
+            Fate::Open => self.serve(now, key),
+        }
+    }
+
+    /// Takes the requests that are whole, one at a time, and writes what can be written.
+    fn serve(&mut self, now: Time, key: usize) {
+        while let Some(client) = self.clients.get_mut(&key) {
+            if client.open.is_some() || client.closing {
+                break;
+            }
+            match client.reader.ready() {
+                Ok(false) => break,
+                Ok(true) => self.take(now, key),
+                Err(error) => client.answer(Response::text(error.status(), error.to_string()), false),
+            }
+        }
+        let Some(client) = self.clients.get_mut(&key) else { return };
+        if client.write() == Fate::Over {
+            self.drop_client(key);
+            return;
+        }
+        client.asked_write = client.wants_write();
+        let (read, write) = (client.wants_read(), client.asked_write);
+        if self.net.poll.ask(&client.stream, key, read, write).is_err() {
+            self.drop_client(key);
+        }
+    }
+
+    /// Takes the request that a client's connection holds whole.
+    fn take(&mut self, now: Time, key: usize) {
+        let Some(client) = self.clients.get_mut(&key) else { return };
+        let since = client.since;
+        let (keep_alive, asked) = match client.reader.request() {
+            Ok(request) => (request.keep_alive, platform::read(&request, &self.settings)),
+            Err(error) => (false, Err(Response::text(error.status(), error.to_string()))),
+        };
+        client.reader.next();
+        client.keep_alive = keep_alive;
+        client.since = now;
+        let response = match asked {
+            Err(response) => response,
+            Ok(Asked::Ready) if self.core.can_serve() && !self.stopping => Response::text(200, "up"),
+            Ok(Asked::Ready) => Response::text(503, "not ready"),
+            Ok(Asked::Query(mut query)) => {
+                // The client's time counts from its sending, of which the first byte in is the nearest sign.
+                query.left = query.left.saturating_sub(now.since(since));
+                match self.core.take(now, query, Ticket(key as u64)) {
+                    Ok(id) => {
+                        client.open = Some((id, ()));
+                        return;
+                    }
+                    Err(NotTaken::Full) => platform::refusal(Duration::ZERO),
+                    Err(NotTaken::NameInUse) => Response::text(409, "X-Request-ID: is in use"),
+                }
+            }
+        };
+        client.answer(response, keep_alive && !self.stopping);
+    }
+
+    fn drop_client(&mut self, key: usize) {
+        let Some(client) = self.clients.remove(&key) else { return };
+        self.net.poll.remove(&client.stream);
+        if let Some((query, ())) = client.open {
+            self.core.client_gone(query);
+        }
+        if let (true, Some(listener)) = (std::mem::take(&mut self.crowded), &self.listener) {
+            let _ = self.net.poll.ask(listener, LISTEN, true, false);
+        }
+    }
+
+    fn sweep(&mut self, now: Time) {
+        self.net.wheel.arm(now.after(SWEEP), Due::Sweep);
+        self.backend.sweep(&self.net, now);
+        let over = |client: &Client<()>| {
+            let limit = if client.is_idle() { CLIENT_IDLE } else { REQUEST_TIME };
+            client.open.is_none() && now.since(client.since) >= limit
+        };
+        let over: Vec<usize> = self.clients.iter().filter(|(_, c)| over(c)).map(|(key, _)| *key).collect();
+        over.into_iter().for_each(|key| self.drop_client(key));
+    }
+
+    fn tend_watch(&mut self, now: Time) {
+        if self.watch.is_silent(now) {
+            self.end_watch(now, "silent");
+        }
+        match self.watch.connect(now) {
+            Ok(true) => {
+                if let Some(stream) = self.watch.stream() {
+                    let _ = self.net.poll.add(stream, WATCH, true, true);
+                }
+            }
+            Ok(false) => {}
+            Err(error) => eprintln!("brookspur: discovery: {error}"),
+        }
+        self.arm_watch(now);
+    }
+
+    fn watch_ready(&mut self, now: Time) {
+        let mut lists = Vec::new();
+        let result = self.watch.ready(now, &mut lists);
+        for list in lists {
+            take_list(&mut self.core, &mut self.backend, &list);
+        }
+        match (result, self.watch.stream()) {
+            (Ok(()), Some(stream)) => {
+                let _ = self.net.poll.ask(stream, WATCH, true, self.watch.wants_write());
+            }
+            (Ok(()), None) => {}
+            (Err(error), _) => self.end_watch(now, &error.to_string()),
+        }
+    }
+
+    fn end_watch(&mut self, now: Time, why: &str) {
+        eprintln!("brookspur: discovery: {why}");
+        if let Some(stream) = self.watch.drop_link(now) {
+            self.net.poll.remove(&stream);
+        }
+        self.core.servers_failed();
+        self.arm_watch(now);
+    }
+
+    fn arm_watch(&mut self, now: Time) {
+        self.watch_at = self.watch.due().max(now.after(Duration::from_millis(1)));
+        self.net.wheel.arm(self.watch_at, Due::Watch);
+    }
+
+    fn stop(&mut self, now: Time) {
+        let _ = self.signal.read(&mut [0; 16]);
+        let _ = self.net.poll.ask(&self.signal, SIGNAL, true, false);
+        if !std::mem::replace(&mut self.stopping, true) {
+            eprintln!("brookspur: stopping, {} open", self.core.open());
+            self.net.wheel.arm(now.after(LAST_LISTENING), Due::StopListening);
+        }
+    }
+
+    /// Takes those that already wait in the listener's queue, then closes it and what is idle.
+    fn stop_listening(&mut self, now: Time) {
+        self.accept(now);
+        if let Some(listener) = self.listener.take() {
+            self.net.poll.remove(&listener);
+        }
+        for key in self.clients.keys().copied().collect::<Vec<_>>() {
+            // A request that has come meanwhile is taken; only what is idle after that is closed.
+            self.client_ready(now, key);
+            if self.clients.get(&key).is_some_and(|client| client.is_idle()) {
+                self.drop_client(key);
+            }
+        }
+    }
+}
+
+/// Gives a list to the core, and its addresses to the connections.
+fn take_list(core: &mut Core, backend: &mut Backend, list: &Listing) {
+    let members: Vec<_> = list.members.iter().map(|(member, _)| member.clone()).collect();
+    for server in core.take_list(list.whole, &members) {
+        backend.shut(server);
+    }
+    for (member, address) in &list.members {
+        if let (crate::interface::ServerState::Up, Some(address)) = (member.state, address) {
+            backend.open(core.server_id(&member.name), *address);
+        }
+    }
+}
--- /dev/null
+++ b/src/core.rs
@@ -0,0 +1,439 @@
+//! The broker's core: what is open, whatever wire it came on.
+//!
+//! It hands events to the decision module, one step at a time, and turns the module's actions into
+//! [`Command`]s in terms of the outside: names, texts and values. It does no I/O and reads no clock.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::config::settings::SiteSettings;
+use crate::decide::Router;
+use crate::interface::*;
+
+/// Whom a query's final answer goes to: a number of the front's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Ticket(pub u64);
+
+/// A part of a query as a front takes it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NewPart {
+    /// The shard it asks.
+    pub shard: u32,
+    /// Its share of the weight.
+    pub weight: f64,
+}
+
+/// A query as a front takes it.
+#[derive(Clone, Debug)]
+pub struct NewQuery {
+    /// Its external name, which no other open query bears.
+    pub name: String,
+    /// Index of its class.
+    pub class: usize,
+    /// What it asks about.
+    pub key: Option<u64>,
+    /// Whether its client marked it as a repetition.
+    pub repeated: bool,
+    /// Time until its client gives up.
+    pub left: Duration,
+    /// Its idempotency key, in a keyed class.
+    pub idempotency: Option<String>,
+    /// What each part carries.
+    pub text: String,
+    /// Its parts, each of another shard.
+    pub parts: Vec<NewPart>,
+}
+
+/// Why a query is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotTaken {
+    /// As many queries and parts are open as may be.
+    Full,
+    /// A query of this name is open.
+    NameInUse,
+}
+
+/// The one final answer of a query.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Final {
+    /// Answered, from the parts that are in.
+    Answered {
+        /// Whether the answer is marked whole.
+        whole: bool,
+        /// Shard and value of each part that is in, in the order asked; none for one that is not.
+        values: Vec<(u32, Option<String>)>,
+    },
+    /// Refused: trying again is harmless.
+    Refused {
+        /// For how long the client is asked to stay away.
+        hold_off: Duration,
+    },
+    /// Failed, with no promise.
+    Failed,
+}
+
+/// An attempt, as the module numbers it.
+pub type AttemptId = (PartId, u32);
+
+/// An attempt to send.
+#[derive(Clone, Debug)]
+pub struct Send {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// To whom.
+    pub server: ServerId,
+    /// The query's name.
+    pub query: Arc<str>,
+    /// The shard asked.
+    pub shard: u32,
+    /// The query's idempotency key.
+    pub idempotency: Option<Arc<str>>,
+    /// What the part carries.
+    pub text: Arc<str>,
+    /// When the broker stops waiting.
+    pub until: Time,
+}
+
+/// What the loop is to do, in order.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Send an attempt; those of one step to one server share frames.
+    Send(Send),
+    /// Give an attempt up and bring back its outcome.
+    Cancel(AttemptId),
+    /// Close the idle connections to a server.
+    CloseIdle(ServerId),
+    /// Probe a server.
+    Probe(ServerId),
+    /// Give a query its final answer.
+    Finish(Ticket, Final),
+    /// Bring back a timer of the module's.
+    Arm(Time, TimerId),
+    /// Bring back the deadline of a query.
+    ArmDeadline(Time, QueryId),
+    /// Ask discovery anew.
+    WatchServers,
+}
+
+/// A server as discovery or an inventory lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// Its name, the same at every broker.
+    pub name: String,
+    /// Its zone's name.
+    pub zone: String,
+    /// Its cell.
+    pub cell: u32,
+    /// Its state.
+    pub state: ServerState,
+    /// When its process last started, if lately.
+    pub started: Option<Time>,
+}
+
+struct Open {
+    name: Arc<str>,
+    ticket: Ticket,
+    idempotency: Option<Arc<str>>,
+    text: Arc<str>,
+    ends_at: Time,
+    parts: Vec<OpenPart>,
+}
+
+struct OpenPart {
+    id: PartId,
+    shard: u32,
+    value: Option<String>,
+}
+
+struct PartEntry {
+    query: QueryId,
+    index: usize,
+    /// Attempts so far.
+    attempts: u32,
+}
+
+struct Attempt {
+    sent: Time,
+}
+
+/// The core's state. See the module's page.
+pub struct Core {
+    settings: Arc<SiteSettings>,
+    router: Router,
+    queries: HashMap<QueryId, Open>,
+    names: HashMap<Arc<str>, QueryId>,
+    parts: HashMap<PartId, PartEntry>,
+    attempts: HashMap<AttemptId, Attempt>,
+    servers: HashMap<ServerId, String>,
+    ids: HashMap<String, ServerId>,
+    listed: HashMap<ServerId, ServerState>,
+    events: Vec<Event>,
+    actions: Vec<Action>,
+    last_id: u64,
+}
+
+impl Core {
+    /// A core with nothing open.
+    ///
+    /// # Errors
+    ///
+    /// When the module does not take its settings.
+    pub fn new(settings: Arc<SiteSettings>, seed: u64) -> Result<Self, SettingsError> {
+        let router = Router::new(settings.module.clone(), seed)?;
+        Ok(Core {
+            settings,
+            router,
+            queries: HashMap::new(),
+            names: HashMap::new(),
+            parts: HashMap::new(),
+            attempts: HashMap::new(),
+            servers: HashMap::new(),
+            ids: HashMap::new(),
+            listed: HashMap::new(),
+            events: Vec::new(),
+            actions: Vec::new(),
+            last_id: 0,
+        })
+    }
+
+    /// Takes a query: from here on it is owed exactly one final answer.
+    ///
+    /// # Errors
+    ///
+    /// When it is not taken.
+    pub fn take(&mut self, now: Time, query: NewQuery, ticket: Ticket) -> Result<QueryId, NotTaken> {
+        if self.queries.len() + self.parts.len() >= self.settings.max_open {
+            return Err(NotTaken::Full);
+        }
+        let name: Arc<str> = query.name.into();
+        if self.names.contains_key(&name) {
+            return Err(NotTaken::NameInUse);
+        }
+        let id = QueryId(self.next_id());
+        let number = QueryNumber(id.0);
+        self.events.push(Event::Query(Query {
+            id,
+            number,
+            class: query.class,
+            tenant: 0,
+            key: query.key,
+            repeated: query.repeated,
+            left: query.left,
+        }));
+        let mut parts = Vec::with_capacity(query.parts.len());
+        for (index, NewPart { shard, weight }) in query.parts.into_iter().enumerate() {
+            let part = PartId(self.next_id());
+            self.events.push(Event::Part(Part { id: part, query: number, shard: ShardId(shard), weight }));
+            self.parts.insert(part, PartEntry { query: id, index, attempts: 0 });
+            parts.push(OpenPart { id: part, shard, value: None });
+        }
+        self.names.insert(name.clone(), id);
+        let open = Open {
+            name,
+            ticket,
+            idempotency: query.idempotency.map(Into::into),
+            text: query.text.into(),
+            ends_at: now.after(query.left),
+            parts,
+        };
+        self.queries.insert(id, open);
+        Ok(id)
+    }
+
+    fn next_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
+    }
+
+    /// The client of a query has left: nobody is owed an answer any more.
+    pub fn client_gone(&mut self, id: QueryId) {
+        if self.close(id).is_some() {
+            self.events.push(Event::ClientGone(id));
+        }
+    }
+
+    /// Guards the rule that a query ends before its client's time does, should the module ever hold one
+    /// longer: fails a query whose time is over.
+    pub fn deadline(&mut self, now: Time, id: QueryId) -> Option<Command> {
+        if self.queries.get(&id)?.ends_at.before(self.settings.module.tick) > now {
+            return None;
+        }
+        let open = self.close(id)?;
+        self.events.push(Event::ClientGone(id));
+        Some(Command::Finish(open.ticket, Final::Failed))
+    }
+
+    /// An attempt ended; any further end of it is disregarded.
+    pub fn outcome(
+        &mut self,
+        now: Time,
+        id: AttemptId,
+        verdict: Verdict,
+        value: Option<String>,
+        load: LoadReport,
+    ) {
+        let Some(attempt) = self.attempts.remove(&id) else { return };
+        let took = now.since(attempt.sent);
+        if let (Verdict::Served, Some(entry)) = (verdict, self.parts.get(&id.0))
+            && let Some(open) = self.queries.get_mut(&entry.query)
+        {
+            open.parts[entry.index].value = value;
+        }
+        self.events.push(Event::Outcome { part: id.0, attempt: id.1, verdict, took, load });
+    }
+
+    /// A probe ended.
+    pub fn probed(&mut self, server: ServerId, verdict: Verdict, took: Duration, load: LoadReport) {
+        self.events.push(Event::Probed { server, verdict, took, load });
+    }
+
+    /// A timer of the module's fell due.
+    pub fn timer(&mut self, timer: TimerId) {
+        self.events.push(Event::Timer(timer));
+    }
+
+    /// Discovery can't be reached; the last list stays valid.
+    pub fn servers_failed(&mut self) {
+        self.events.push(Event::ServersFailed);
+    }
+
+    /// Takes a list of servers, whole or of changes, and gives who may no longer be sent anything.
+    pub fn take_list(&mut self, whole: bool, members: &[Member]) -> Vec<ServerId> {
+        let before = if whole { std::mem::take(&mut self.listed) } else { HashMap::new() };
+        let mut stopped: Vec<ServerId> = Vec::new();
+        let mut lines = Vec::with_capacity(members.len());
+        for member in members {
+            let server = self.server_id(&member.name);
+            if member.state == ServerState::Removed {
+                self.listed.remove(&server);
+            } else {
+                self.listed.insert(server, member.state);
+            }
+            if member.state != ServerState::Up {
+                stopped.push(server);
+            }
+            let zone = self.settings.zones.iter().position(|zone| *zone == member.zone);
+            lines.push(Listed {
+                server,
+                zone: zone.map_or(u32::MAX, |zone| zone as u32),
+                cell: member.cell,
+                state: member.state,
+                started: member.started,
+            });
+        }
+        if whole {
+            // A full list drops those that are absent.
+            stopped.extend(before.into_keys().filter(|server| !self.listed.contains_key(server)));
+            lines.retain(|line| line.state != ServerState::Removed);
+            self.events.push(Event::Servers(lines));
+        } else {
+            self.events.push(Event::ServersChanged(lines));
+        }
+        stopped
+    }
+
+    /// The id of a server: from its name alone, so that all brokers send a key to the same home.
+    pub fn server_id(&mut self, name: &str) -> ServerId {
+        if let Some(id) = self.ids.get(name) {
+            return *id;
+        }
+        let hash = name.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+        });
+        let mut id = ServerId(hash);
+        while self.servers.contains_key(&id) {
+            id = ServerId(id.0.wrapping_add(1));
+        }
+        self.servers.insert(id, name.to_owned());
+        self.ids.insert(name.to_owned(), id);
+        id
+    }
+
+    /// Whether a server that runs is listed.
+    pub fn can_serve(&self) -> bool {
+        self.listed.values().any(|state| *state == ServerState::Up)
+    }
+
+    /// Queries that are owed an answer.
+    pub fn open(&self) -> usize {
+        self.queries.len()
+    }
+
+    /// Whether anything has happened since the last step.
+    pub fn has_news(&self) -> bool {
+        !self.events.is_empty()
+    }
+
+    /// Hands all that has happened to the module and gives what it wants done.
+    pub fn step(&mut self, now: Time, commands: &mut Vec<Command>) {
+        let mut events = std::mem::take(&mut self.events);
+        let mut actions = std::mem::take(&mut self.actions);
+        self.router.step(now, &events, &mut actions);
+        for event in events.drain(..) {
+            // A query's deadline is set once the module has seen it.
+            if let Event::Query(query) = event
+                && let Some(open) = self.queries.get(&query.id)
+            {
+                let guard = open.ends_at.before(self.settings.module.tick);
+                commands.push(Command::ArmDeadline(guard, query.id));
+            }
+        }
+        for action in actions.drain(..) {
+            commands.extend(self.carry_out(now, action));
+        }
+        // What was refused on the spot came in meanwhile.
+        events.append(&mut self.events);
+        (self.events, self.actions) = (events, actions);
+    }
+
+    fn carry_out(&mut self, now: Time, action: Action) -> Option<Command> {
+        Some(match action {
+            Action::Send { part, server, time_out } => return self.send(now, part, server, time_out),
+            Action::Cancel { part, attempt } => {
+                self.attempts.get(&(part, attempt))?;
+                Command::Cancel((part, attempt))
+            }
+            Action::CloseIdle { server } => Command::CloseIdle(server),
+            Action::Probe { server } => Command::Probe(server),
+            Action::Answer { query, whole } => {
+                let open = self.close(query)?;
+                let values = open.parts.into_iter().map(|part| (part.shard, part.value)).collect();
+                Command::Finish(open.ticket, Final::Answered { whole, values })
+            }
+            Action::Refuse { query, hold_off } => {
+                Command::Finish(self.close(query)?.ticket, Final::Refused { hold_off })
+            }
+            Action::Fail { query } => Command::Finish(self.close(query)?.ticket, Final::Failed),
+            Action::SetTimer { timer, at } => Command::Arm(at, timer),
+            Action::WatchServers => Command::WatchServers,
+        })
+    }
+
+    fn send(&mut self, now: Time, part: PartId, server: ServerId, time_out: Duration) -> Option<Command> {
+        let entry = self.parts.get_mut(&part)?;
+        let open = self.queries.get(&entry.query)?;
+        let number = entry.attempts;
+        entry.attempts += 1;
+        self.attempts.insert((part, number), Attempt { sent: now });
+        Some(Command::Send(Send {
+            attempt: (part, number),
+            server,
+            query: open.name.clone(),
+            shard: open.parts[entry.index].shard,
+            idempotency: open.idempotency.clone(),
+            text: open.text.clone(),
+            until: now.after(time_out).min(open.ends_at),
+        }))
+    }
+
+    /// Ends a query: whoever gets it here is the only one to answer it.
+    fn close(&mut self, id: QueryId) -> Option<Open> {
+        let open = self.queries.remove(&id)?;
+        self.names.remove(&open.name);
+        for part in &open.parts {
+            self.parts.remove(&part.id);
+        }
+        Some(open)
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -852,7 +852,7 @@
 
     fn plan(&mut self, server: ServerId, class: usize) {
         let planned = self.planned.entry(server).or_insert((0, 0.0));
-        if planned.0 % self.settings.batch == 0 {
+        if planned.0.is_multiple_of(self.settings.batch) {
             planned.1 += self.settings.call_cost.as_secs_f64() / self.unit;
         }
         planned.0 += 1;
--- /dev/null
+++ b/src/discovery.rs
@@ -0,0 +1,269 @@
+//! Discovery: the list of servers, from `known` at the start and from a watch from then on.
+
+use std::io::{self, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::core::Member;
+use crate::interface::{ServerState, Time};
+use crate::net::clock::Clock;
+use crate::net::http::Chunks;
+use crate::net::outbox::Outbox;
+
+/// A watch that brings no line for so long is dead: empty ones come every 2 s.
+const SILENCE: Duration = Duration::from_secs(5);
+/// First wait before a new watch, doubled up to the last.
+const BACK_OFF: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(2)];
+/// Longest line and head that are read.
+const MAX_LINE: usize = 4 * 1024 * 1024;
+
+/// A list as discovery gives it: whole, or the lines that changed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    /// Its version.
+    pub index: u64,
+    /// Whether it is the whole list.
+    pub whole: bool,
+    /// Its lines, each with the server's address.
+    pub members: Vec<(Member, Option<SocketAddr>)>,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    index: u64,
+    snapshot: bool,
+    endpoints: Vec<Endpoint>,
+}
+
+#[derive(Deserialize)]
+struct Endpoint {
+    name: String,
+    #[serde(default)]
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    group: u32,
+    status: String,
+    #[serde(default)]
+    since_ms: u64,
+}
+
+impl Listing {
+    fn new(message: Message, clock: &Clock) -> Result<Self, String> {
+        let member = |endpoint: Endpoint| {
+            let state = match endpoint.status.as_str() {
+                "up" => ServerState::Up,
+                "draining" => ServerState::Draining,
+                "removed" => ServerState::Removed,
+                other => return Err(format!("{}: status: unknown word {other:?}", endpoint.name)),
+            };
+            let address = endpoint.address.parse().ok();
+            if address.is_none() && state == ServerState::Up {
+                return Err(format!("{}: address: {:?} is no address", endpoint.name, endpoint.address));
+            }
+            let Endpoint { name, zone, group: cell, since_ms, .. } = endpoint;
+            Ok((Member { name, zone, cell, state, started: clock.at_unix(since_ms) }, address))
+        };
+        let members = message.endpoints.into_iter().map(member).collect::<Result<_, _>>()?;
+        Ok(Listing { index: message.index, whole: message.snapshot, members })
+    }
+
+    /// Reads a list in discovery's form.
+    ///
+    /// # Errors
+    ///
+    /// Says which line or key is at fault.
+    pub fn read(text: &[u8], clock: &Clock) -> Result<Self, String> {
+        let message = serde_json::from_slice(text).map_err(|error| error.to_string())?;
+        Self::new(message, clock)
+    }
+
+    /// Reads a list that came inside of other JSON.
+    ///
+    /// # Errors
+    ///
+    /// Says which key is at fault.
+    pub fn from_value(value: &Value, clock: &Clock) -> Result<Self, String> {
+        let message: Message = serde_path_to_error::deserialize(value)
+            .map_err(|error| format!("{}: {}", error.path(), error.inner()))?;
+        Self::new(message, clock)
+    }
+}
+
+/// A watch on discovery, over one connection after another.
+pub struct Watch {
+    address: SocketAddr,
+    clock: Clock,
+    /// Version of the list in hand.
+    index: u64,
+    link: Option<Link>,
+    back_off: Duration,
+    /// When a new connection may be made.
+    retry_at: Time,
+}
+
+struct Link {
+    stream: TcpStream,
+    request: Outbox,
+    connected: bool,
+    /// When the last line came, or the connection was begun.
+    heard: Time,
+    bytes: Vec<u8>,
+    /// The chunks, once the head has been read.
+    body: Option<Chunks>,
+    line: Vec<u8>,
+}
+
+impl Watch {
+    /// A watch that goes on from a version of the list.
+    pub fn new(address: SocketAddr, index: u64, clock: Clock) -> Self {
+        Watch { address, clock, index, link: None, back_off: BACK_OFF[0], retry_at: Time(0) }
+    }
+
+    /// The socket, while there is one.
+    pub fn stream(&self) -> Option<&TcpStream> {
+        self.link.as_ref().map(|link| &link.stream)
+    }
+
+    /// Whether the socket has anything to write.
+    pub fn wants_write(&self) -> bool {
+        self.link.as_ref().is_some_and(|link| !link.connected || !link.request.is_empty())
+    }
+
+    /// When silence or a new connection is to be looked at, at the latest.
+    pub fn due(&self) -> Time {
+        self.link.as_ref().map_or(self.retry_at, |link| link.heard.after(SILENCE))
+    }
+
+    /// Begins a connection if one is due.
+    ///
+    /// # Errors
+    ///
+    /// When none could be begun; the next call comes when it is [`Watch::due`].
+    pub fn connect(&mut self, now: Time) -> io::Result<bool> {
+        if self.link.is_some() || now < self.retry_at {
+            return Ok(false);
+        }
+        let stream = match crate::net::connect(self.address) {
+            Ok(stream) => stream,
+            Err(error) => {
+                self.wait(now);
+                return Err(error);
+            }
+        };
+        let mut request = Outbox::default();
+        let line = format!("GET /discovery/hosts?stream=1&index={} HTTP/1.1\r\n", self.index);
+        request.push(line.into_bytes());
+        request.push(format!("Host: {}\r\nAccept: application/json\r\n\r\n", self.address).into_bytes());
+        let (bytes, line) = (Vec::new(), Vec::new());
+        self.link = Some(Link { stream, request, connected: false, heard: now, bytes, body: None, line });
+        Ok(true)
+    }
+
+    /// Whether the watch is dead: nothing has come for too long.
+    pub fn is_silent(&self, now: Time) -> bool {
+        self.link.as_ref().is_some_and(|link| now >= link.heard.after(SILENCE))
+    }
+
+    /// Gives up the connection, and gives its socket for the poller to forget. The last list stays valid.
+    pub fn drop_link(&mut self, now: Time) -> Option<TcpStream> {
+        let link = self.link.take()?;
+        self.wait(now);
+        Some(link.stream)
+    }
+
+    fn wait(&mut self, now: Time) {
+        self.retry_at = now.after(self.back_off);
+        self.back_off = (self.back_off * 2).min(BACK_OFF[1]);
+    }
+
+    /// Does what the socket is ready for, and appends the lists that came.
+    ///
+    /// # Errors
+    ///
+    /// When the connection has ended or is of no use; [`Watch::drop_link`] follows.
+    pub fn ready(&mut self, now: Time, lists: &mut Vec<Listing>) -> io::Result<()> {
+        let Some(link) = &mut self.link else { return Ok(()) };
+        if !link.connected {
+            link.connected = crate::net::connected(&link.stream)?;
+        }
+        if !link.connected || !link.request.flush(&mut link.stream)? {
+            return Ok(());
+        }
+        let mut buffer = [0; 16 * 1024];
+        loop {
+            let read = match link.stream.read(&mut buffer) {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(read) => read,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) => return Err(error),
+            };
+            link.bytes.extend_from_slice(&buffer[..read]);
+            let text = link.take_text()?;
+            for piece in text.split_inclusive(|&byte| byte == b'\n') {
+                link.line.extend_from_slice(piece);
+                if link.line.len() > MAX_LINE {
+                    return Err(bad("a line is too long".to_owned()));
+                }
+                if link.line.last() != Some(&b'\n') {
+                    continue;
+                }
+                let line = std::mem::take(&mut link.line);
+                link.heard = now;
+                self.back_off = BACK_OFF[0];
+                if !line.trim_ascii().is_empty() {
+                    let list = Listing::read(&line, &self.clock).map_err(bad)?;
+                    self.index = list.index;
+                    lists.push(list);
+                }
+            }
+            if link.body.as_ref().is_some_and(Chunks::done) {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+}
+
+impl Link {
+    /// What has come of the body.
+    fn take_text(&mut self) -> io::Result<Vec<u8>> {
+        if self.body.is_none() {
+            let mut headers = [httparse::EMPTY_HEADER; 32];
+            let mut response = httparse::Response::new(&mut headers);
+            let parsed = response.parse(&self.bytes).map_err(|error| bad(error.to_string()))?;
+            let httparse::Status::Complete(length) = parsed else {
+                return match self.bytes.len() > MAX_LINE {
+                    true => Err(bad("the head is too long".to_owned())),
+                    false => Ok(Vec::new()),
+                };
+            };
+            if response.code != Some(200) {
+                return Err(bad(format!("status {}", response.code.unwrap_or(0))));
+            }
+            let chunked = response.headers.iter().any(|header| {
+                header.name.eq_ignore_ascii_case("transfer-encoding")
+                    && header.value.eq_ignore_ascii_case(b"chunked")
+            });
+            if !chunked {
+                return Err(bad("the watch is not chunked".to_owned()));
+            }
+            self.bytes.drain(..length);
+            self.body = Some(Chunks::default());
+        }
+        let mut text = Vec::new();
+        if let Some(chunks) = &mut self.body {
+            let used = chunks.take(&self.bytes, &mut text).map_err(|error| bad(error.to_string()))?;
+            self.bytes.drain(..used);
+        }
+        Ok(text)
+    }
+}
+
+fn bad(fault: String) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, fault)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -100,10 +100,17 @@
 //! - Bring back every timer, and exactly one outcome for every attempt, after its query has ended too.
 //! - Carry out [`Action::Probe`] where [`Settings::may_probe`] is set, and bring back one [`Event::Probed`]
 //!   for each; without results a query that waits for them goes on after two ticks.
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 
+pub mod backend;
+pub mod broker;
+pub mod config;
+pub mod core;
 pub mod decide;
+pub mod discovery;
+pub mod front;
 pub mod interface;
+pub mod net;
 
 pub use decide::Router;
 pub use interface::*;
--- /dev/null
+++ b/src/net/clock.rs
@@ -0,0 +1,57 @@
+//! The clock that the decision module sees: monotonic, with Unix times mapped onto it once.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::interface::Time;
+
+/// The clock's reading at the program's start: room for servers that started up to a week before.
+const START: Time = Time(7 * 86_400 * 1_000_000_000);
+
+/// A monotonic clock that knows which Unix time it started at.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    unix_at_start: Duration,
+}
+
+impl Clock {
+    /// A clock that starts now. Both clocks are read once, together: a server's start must map to the
+    /// same moment each time it is listed, or the module would take the difference for a restart.
+    pub fn start() -> Self {
+        let unix_at_start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix_at_start }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Time {
+        START.after(self.start.elapsed())
+    }
+
+    /// The moment of a Unix time in milliseconds; none for 0 or what lies too far back to matter.
+    pub fn at_unix(&self, ms: u64) -> Option<Time> {
+        let (at, start) = (Duration::from_millis(ms), self.unix_at_start);
+        let moment = match at.checked_sub(start) {
+            Some(later) => START.after(later),
+            None => START.before(start - at),
+        };
+        (ms > 0 && moment.0 > 0).then_some(moment)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Guards against cold servers taken for warm ones, or for restarted ones, by a wrong or unsteady mapping.
+    #[test]
+    fn unix_times_map_to_fixed_moments() {
+        let clock = Clock::start();
+        let unix = clock.unix_at_start.as_millis() as u64;
+        let at = clock.at_unix(unix - 4000).expect("lately");
+        let age = clock.now().since(at);
+        assert!(age >= Duration::from_secs(4), "{age:?}");
+        assert_eq!(clock.at_unix(unix - 4000), Some(at));
+        assert_eq!((clock.at_unix(0), clock.at_unix(1)), (None, None));
+        assert!(clock.at_unix(unix + 60_000).is_some_and(|at| at > clock.now()));
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,105 @@
+//! Sockets, time and signals: the poller, the timer wheel, HTTP connections and the way out.
+
+pub mod client;
+pub mod clock;
+pub mod http;
+pub mod outbox;
+pub mod poll;
+pub mod wheel;
+
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+
+use self::clock::Clock;
+use self::poll::Poll;
+use self::wheel::Wheel;
+use crate::core::AttemptId;
+use crate::interface::{QueryId, TimerId};
+
+/// What falls due on the wheel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    /// A timer of the module's.
+    Module(TimerId),
+    /// The end of a query's time.
+    Deadline(QueryId),
+    /// The end of the wait for an attempt.
+    TimeOut(AttemptId),
+    /// The end of the wait for a connection to a server, by its key.
+    Connect(usize),
+    /// Discovery's silence, or the wait before the next watch.
+    Watch,
+    /// A look over connections that stand idle.
+    Sweep,
+    /// The end of listening after SIGTERM.
+    StopListening,
+}
+
+/// What everything on the loop shares.
+pub struct Net {
+    /// The poller.
+    pub poll: Poll,
+    /// The timers.
+    pub wheel: Wheel<Due>,
+    /// The clock.
+    pub clock: Clock,
+    last_key: usize,
+}
+
+/// Keys up to this one are fixed; those beyond are given out once and never again, so that a report
+/// meant for a connection that is gone can't meet another.
+const LAST_FIXED_KEY: usize = 15;
+
+impl Net {
+    /// A loop's poller, timers and clock.
+    ///
+    /// # Errors
+    ///
+    /// When the system has no descriptors left.
+    pub fn new(clock: Clock) -> io::Result<Self> {
+        let wheel = Wheel::new(clock.now());
+        Ok(Net { poll: Poll::new()?, wheel, clock, last_key: LAST_FIXED_KEY })
+    }
+
+    /// A key that was never given out before.
+    pub fn new_key(&mut self) -> usize {
+        self.last_key += 1;
+        self.last_key
+    }
+}
+
+/// Begins a connection; [`connected`] tells when it is up.
+///
+/// # Errors
+///
+/// When the system refuses at once.
+pub fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    match socket.connect(&address.into()) {
+        Err(error) if error.raw_os_error() != Some(IN_PROGRESS) => Err(error),
+        _ => Ok(socket.into()),
+    }
+}
+
+/// Linux's EINPROGRESS, which the standard library has no kind for.
+const IN_PROGRESS: i32 = 115;
+
+/// Whether a connection is up.
+///
+/// # Errors
+///
+/// When it failed.
+pub fn connected(stream: &TcpStream) -> io::Result<bool> {
+    if let Some(error) = SockRef::from(stream).take_error()? {
+        return Err(error);
+    }
+    match stream.peer_addr() {
+        Ok(_) => Ok(true),
+        Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(false),
+        Err(error) => Err(error),
+    }
+}
--- /dev/null
+++ b/src/net/poll.rs
@@ -0,0 +1,78 @@
+//! The poller: the one place that registers sockets with it.
+
+use std::io;
+use std::os::fd::{AsFd, AsRawFd};
+use std::time::Duration;
+
+use polling::{Event, Events, Poller};
+
+/// What a source is ready for.
+#[derive(Clone, Copy, Debug)]
+pub struct Ready {
+    /// The key it was registered under.
+    pub key: usize,
+    /// It can be read, or has ended.
+    pub readable: bool,
+    /// It can be written, or has failed.
+    pub writable: bool,
+}
+
+/// Wraps the poller. Sources report once and are then asked for again, so none can spin the loop.
+pub struct Poll {
+    poller: Poller,
+    events: Events,
+}
+
+impl Poll {
+    /// A poller without sources.
+    ///
+    /// # Errors
+    ///
+    /// When the system has no descriptors left for it.
+    pub fn new() -> io::Result<Self> {
+        Ok(Poll { poller: Poller::new()?, events: Events::new() })
+    }
+
+    /// Registers a source.
+    ///
+    /// # Errors
+    ///
+    /// When the system refuses it.
+    #[allow(unsafe_code)] // `polling` asks for a promise that `remove` comes before the source is closed.
+    pub fn add(&self, source: &(impl AsRawFd + AsFd), key: usize, read: bool, write: bool) -> io::Result<()> {
+        // SAFETY: every owner of a registered source calls `remove` before it drops it; sources are never
+        // duplicated, so on Linux closing one would also end its registration.
+        unsafe { self.poller.add(source, Event::new(key, read, write)) }
+    }
+
+    /// Asks for the next report of a source.
+    ///
+    /// # Errors
+    ///
+    /// When it is not registered.
+    pub fn ask(&self, source: &impl AsFd, key: usize, read: bool, write: bool) -> io::Result<()> {
+        self.poller.modify(source, Event::new(key, read, write))
+    }
+
+    /// Ends a registration; without effect on one that has ended.
+    pub fn remove(&self, source: &impl AsFd) {
+        // An error means that it was not registered, which is what is wanted.
+        let _ = self.poller.delete(source);
+    }
+
+    /// Waits until sources are ready or the time is over, and gives those that are.
+    ///
+    /// # Errors
+    ///
+    /// When the poller itself fails.
+    pub fn wait(&mut self, time_out: Option<Duration>, ready: &mut Vec<Ready>) -> io::Result<()> {
+        self.events.clear();
+        match self.poller.wait(&mut self.events, time_out) {
+            Err(error) if error.kind() != io::ErrorKind::Interrupted => return Err(error),
+            _ => {}
+        }
+        let each = self.events.iter();
+        ready.extend(each.map(|e| Ready { key: e.key, readable: e.readable, writable: e.writable }));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/net/wheel.rs
@@ -0,0 +1,89 @@
+//! A wheel of coarse ticks for every timer of the broker.
+
+use std::time::Duration;
+
+use crate::interface::Time;
+
+/// Length of a tick. Timers fall due at the tick after their moment, so never early.
+const TICK: Duration = Duration::from_millis(1);
+const SLOTS: u64 = 1024;
+
+/// Timers by the tick at which they fall due; a slot holds those of all rounds.
+pub struct Wheel<T> {
+    slots: Vec<Vec<(u64, T)>>,
+    /// All before this tick have fallen due.
+    current: u64,
+    held: usize,
+}
+
+impl<T> Wheel<T> {
+    /// An empty wheel that starts at `now`.
+    pub fn new(now: Time) -> Self {
+        let mut slots = Vec::new();
+        slots.resize_with(SLOTS as usize, Vec::new);
+        Wheel { slots, current: now.0 / TICK.as_nanos() as u64, held: 0 }
+    }
+
+    /// Sets a timer.
+    pub fn arm(&mut self, at: Time, what: T) {
+        let tick = at.0.div_ceil(TICK.as_nanos() as u64).max(self.current);
+        self.slots[(tick % SLOTS) as usize].push((tick, what));
+        self.held += 1;
+    }
+
+    /// Moves the timers that are due into `due`, in the order of their ticks.
+    pub fn expire(&mut self, now: Time, due: &mut Vec<T>) {
+        let last = now.0 / TICK.as_nanos() as u64;
+        if last < self.current {
+            return;
+        }
+        // After a long sleep one round over the slots meets them all.
+        let mut met: Vec<(u64, T)> = Vec::new();
+        for tick in self.current..=last.min(self.current + SLOTS - 1) {
+            let slot = &mut self.slots[(tick % SLOTS) as usize];
+            met.extend(slot.extract_if(.., |(tick, _)| *tick <= last));
+        }
+        self.current = last + 1;
+        self.held -= met.len();
+        met.sort_by_key(|(tick, _)| *tick);
+        due.extend(met.into_iter().map(|(_, what)| what));
+    }
+
+    /// When to look again: the next timer, or the end of the round if it lies beyond.
+    pub fn next(&self) -> Option<Time> {
+        if self.held == 0 {
+            return None;
+        }
+        let due = |tick: &u64| self.slots[(tick % SLOTS) as usize].iter().any(|(at, _)| at == tick);
+        let tick = (self.current..self.current + SLOTS).find(due).unwrap_or(self.current + SLOTS);
+        Some(Time(tick * TICK.as_nanos() as u64))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Guards against timers that fire early, get lost over a round of the wheel, or come out of order.
+    #[test]
+    fn timers_come_in_order_never_early_and_over_rounds() {
+        let ms = |ms: u64| Time(ms * 1_000_000);
+        let mut wheel = Wheel::new(ms(7));
+        let mut due = Vec::new();
+        wheel.arm(ms(5000), "far");
+        wheel.arm(Time(20_500_000), "between ticks");
+        wheel.arm(ms(12), "near");
+        wheel.arm(ms(3), "past");
+        assert_eq!(wheel.next(), Some(ms(7)));
+        wheel.expire(Time(20_900_000), &mut due);
+        assert_eq!(due, ["past", "near"]);
+        assert_eq!(wheel.next(), Some(ms(21)));
+        wheel.expire(ms(21), &mut due);
+        assert_eq!(due.split_off(2), ["between ticks"]);
+        wheel.expire(wheel.next().expect("one is left"), &mut due);
+        wheel.expire(ms(4999), &mut due);
+        assert_eq!(due.len(), 2);
+        wheel.expire(ms(9000), &mut due);
+        assert_eq!((due.pop(), wheel.next()), (Some("far"), None));
+    }
+}
