--- a/Makefile
+++ b/Makefile
@@ -12,4 +12,4 @@
 	RUSTDOCFLAGS="-D warnings" cargo doc --locked --no-deps --lib
 
 run: build
-	exec target/release/brookspur
+	exec target/release/badgergauge
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -349,7 +349,7 @@
         match frame.split_first() {
             Some((b'a', rest)) => {
                 let Some((name, verdict, value, load)) = read_answer(rest) else {
-                    eprintln!("brookspur: an answer could not be read");
+                    eprintln!("badgergauge: an answer could not be read");
                     return;
                 };
                 // One that was given up is disregarded: its attempt has had its outcome.
@@ -368,7 +368,7 @@
                 self.done.push(Done::Probe(server, verdict, now.since(sent), load));
             }
             Some((b'e', words)) => {
-                eprintln!("brookspur: a frame was not understood: {}", String::from_utf8_lossy(words));
+                eprintln!("badgergauge: a frame was not understood: {}", String::from_utf8_lossy(words));
             }
             _ => {}
         }
--- a/src/bin/brookspur-adapter/main.rs
+++ b/src/bin/badgergauge-adapter/main.rs
@@ -1,4 +1,4 @@
-//! Speaks the simulator's wire on standard input and output, one [`brookspur::Router`] an instance.
+//! Speaks the simulator's wire on standard input and output, one [`badgergauge::Router`] an instance.
 
 mod wire;
 
@@ -18,7 +18,7 @@
                 }
             }
             Err(fault) => {
-                eprintln!("brookspur-adapter: line {}: {fault}", index + 1);
+                eprintln!("badgergauge-adapter: line {}: {fault}", index + 1);
                 return ExitCode::FAILURE;
             }
         }
--- a/src/bin/brookspur-adapter/wire.rs
+++ b/src/bin/badgergauge-adapter/wire.rs
@@ -4,8 +4,8 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::Duration;
 
-use brookspur::config::settings::{SiteSettings, load_report};
-use brookspur::{
+use badgergauge::config::settings::{SiteSettings, load_report};
+use badgergauge::{
     Action, Event, Listed, LoadReport, Part, PartId, Query, QueryId, QueryNumber, Router, ServerId,
     ServerState, ShardId, Time, TimerId, Verdict,
 };
--- a/src/bin/brookspur/main.rs
+++ b/src/bin/badgergauge/main.rs
@@ -2,8 +2,8 @@
 
 use std::process::ExitCode;
 
-use brookspur::broker::Broker;
-use brookspur::config::Config;
+use badgergauge::broker::Broker;
+use badgergauge::config::Config;
 
 fn main() -> ExitCode {
     let broker = match Config::from_env() {
@@ -13,7 +13,7 @@
     match broker.and_then(|broker| broker.run().map_err(|error| error.to_string())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("brookspur: {error}");
+            eprintln!("badgergauge: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -98,7 +98,7 @@
         let now = clock.now();
         net.wheel.arm(now, Due::Watch);
         net.wheel.arm(now.after(SWEEP), Due::Sweep);
-        eprintln!("brookspur: {} listens on {}", config.name, listener.local_addr()?);
+        eprintln!("badgergauge: {} listens on {}", config.name, listener.local_addr()?);
         Ok(Broker {
             settings,
             net,
@@ -357,7 +357,7 @@
                 }
             }
             Ok(false) => {}
-            Err(error) => eprintln!("brookspur: discovery: {error}"),
+            Err(error) => eprintln!("badgergauge: discovery: {error}"),
         }
         self.arm_watch(now);
     }
@@ -378,7 +378,7 @@
     }
 
     fn end_watch(&mut self, now: Time, why: &str) {
-        eprintln!("brookspur: discovery: {why}");
+        eprintln!("badgergauge: discovery: {why}");
         if let Some(stream) = self.watch.drop_link(now) {
             self.net.poll.remove(&stream);
         }
@@ -395,7 +395,7 @@
         let _ = self.signal.read(&mut [0; 16]);
         let _ = self.net.poll.ask(&self.signal, SIGNAL, true, false);
         if !std::mem::replace(&mut self.stopping, true) {
-            eprintln!("brookspur: stopping, {} open", self.core.open());
+            eprintln!("badgergauge: stopping, {} open", self.core.open());
             self.net.wheel.arm(now.after(LAST_LISTENING), Due::StopListening);
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,8 +7,8 @@
 //!
 //! ```
 //! # use std::time::Duration;
-//! use brookspur::{Action, Class, ColdStart, Effect, Event, Listed, LoadReport, Part, PartId, Query, QueryId};
-//! use brookspur::{QueryNumber, Router, ServerId, ServerState, Settings, ShardId, Time, Verdict};
+//! use badgergauge::{Action, Class, ColdStart, Effect, Event, Listed, LoadReport, Part, PartId, Query, QueryId};
+//! use badgergauge::{QueryNumber, Router, ServerId, ServerState, Settings, ShardId, Time, Verdict};
 //!
 //! let settings = Settings {
 //!     front_nodes: 1,
@@ -89,7 +89,7 @@
 //! };
 //! router.step(Time(60_000_000), &[served], &mut actions);
 //! assert_eq!(actions[0], Action::Answer { query: QueryId(1), whole: true });
-//! # Ok::<(), brookspur::SettingsError>(())
+//! # Ok::<(), badgergauge::SettingsError>(())
 //! ```
 //!
 //! # What the caller must do
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_brookspur-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_badgergauge-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use brookspur::*;
+use badgergauge::*;
 
 pub fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
--- a/tests/incidents.rs
+++ b/tests/incidents.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use brookspur::*;
+use badgergauge::*;
 use common::*;
 
 /// Clients came with little time left on their first try; it is no sign that they had waited.
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use brookspur::*;
+use badgergauge::*;
 use common::*;
 
 #[test]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use brookspur::*;
+use badgergauge::*;
 use common::*;
 
 /// A small generator of fixed numbers.
