Add the OGC front: WFS 2.0 by key and value, feature types on tile blocks, inventory

Seen: only the platform's wire was spoken. Done: GetCapabilities, DescribeFeatureType and GetFeature over the same core; a page is one query; the inventory goes discovery's list path.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -11,10 +11,11 @@
 use crate::backend::{Backend, Done};
 use crate::config::Config;
 use crate::config::settings::SiteSettings;
-use crate::core::{Command, Core, Final, NotTaken, Ticket};
+use crate::core::{Command, Core, Final, Ticket};
 use crate::discovery::{Listing, Watch};
-use crate::front::platform::{self, Asked};
+use crate::front::{Front, Pending, Taken};
 use crate::interface::{Time, Verdict};
+use crate::inventory::Inventory;
 use crate::net::client::{Client, Fate};
 use crate::net::clock::Clock;
 use crate::net::http::{MAX_BODY, MAX_HEAD, Response};
@@ -23,6 +24,7 @@
 const LISTEN: usize = 0;
 const SIGNAL: usize = 1;
 const WATCH: usize = 2;
+const OGC_LISTEN: usize = 3;
 
 /// Descriptors for all but clients and tile servers: standard streams, poller, signal, listeners, watch.
 const RESERVED: usize = 24;
@@ -48,14 +50,18 @@
     net: Net,
     core: Core,
     backend: Backend,
-    watch: Watch,
+    /// Where the list of servers comes from: one source alone, as each gives it whole.
+    watch: Option<Watch>,
+    inventory: Option<Inventory>,
     /// When discovery is to be tended next; timers set for earlier are void.
     watch_at: Time,
-    listener: Option<TcpListener>,
+    /// The listeners, by key, until SIGTERM.
+    listeners: Vec<(usize, TcpListener)>,
+    front: Front,
     signal: UnixStream,
-    clients: HashMap<usize, Client<()>>,
+    clients: HashMap<usize, Client<Pending>>,
     most_clients: usize,
-    /// Whether the listener waits for a client to leave.
+    /// Whether listeners wait for a client to leave.
     crowded: bool,
     stopping: bool,
     last_step: Time,
@@ -87,9 +93,28 @@
             list.whole = true;
             take_list(&mut core, &mut backend, &list);
         }
-        let listener = TcpListener::bind(config.listen)?;
-        listener.set_nonblocking(true)?;
-        net.poll.add(&listener, LISTEN, true, false)?;
+        let mut listeners = Vec::new();
+        let ogc = config.ogc.as_ref().map(|ogc| ogc.listen);
+        for (key, at, front) in [(LISTEN, Some(config.listen), "clients"), (OGC_LISTEN, ogc, "OGC clients")] {
+            let Some(at) = at else { continue };
+            let listener = TcpListener::bind(at).map_err(|error| invalid(format!("{at}: {error}")))?;
+            listener.set_nonblocking(true)?;
+            net.poll.add(&listener, key, true, false)?;
+            eprintln!("badgergauge: {} listens to {front} on {}", config.name, listener.local_addr()?);
+            listeners.push((key, listener));
+        }
+        let mut inventory = config.ogc.as_ref().and_then(|ogc| ogc.inventory.clone()).map(Inventory::new);
+        if let Some(list) = inventory
+            .as_mut()
+            .map(|i| i.reread(clock.now()))
+            .transpose()
+            .map_err(|e| invalid(e.to_string()))?
+            .flatten()
+        {
+            take_list(&mut core, &mut backend, &list);
+        }
+        let watch = config.discovery.filter(|_| inventory.is_none()).map(|at| Watch::new(at, index, clock));
+        let front = Front::new(settings.clone(), config.ogc, config.seed);
         let (signal, sender) = UnixStream::pair()?;
         signal.set_nonblocking(true)?;
         sender.set_nonblocking(true)?;
@@ -98,15 +123,16 @@
         let now = clock.now();
         net.wheel.arm(now, Due::Watch);
         net.wheel.arm(now.after(SWEEP), Due::Sweep);
-        eprintln!("badgergauge: {} listens on {}", config.name, listener.local_addr()?);
         Ok(Broker {
             settings,
             net,
             core,
             backend,
-            watch: Watch::new(config.discovery, index, clock),
+            watch,
+            inventory,
             watch_at: now,
-            listener: Some(listener),
+            listeners,
+            front,
             signal,
             clients: HashMap::new(),
             most_clients,
@@ -124,7 +150,7 @@
     /// When the poller fails.
     pub fn run(mut self) -> io::Result<()> {
         let (mut ready, mut due) = (Vec::new(), Vec::new());
-        while !(self.stopping && self.listener.is_none() && self.is_done()) {
+        while !(self.stopping && self.listeners.is_empty() && self.is_done()) {
             let now = self.net.clock.now();
             let step = self.core.has_news().then(|| self.last_step.after(self.settings.module.tick));
             let wake = self.net.wheel.next().into_iter().chain(step).min();
@@ -152,7 +178,7 @@
 
     fn ready(&mut self, now: Time, key: usize, readable: bool) {
         match key {
-            LISTEN => self.accept(now),
+            LISTEN | OGC_LISTEN => self.accept(now, key),
             SIGNAL => self.stop(now),
             WATCH => self.watch_ready(now),
             _ if self.backend.ready(&mut self.net, now, key, readable) => {}
@@ -219,25 +245,25 @@
     fn finish(&mut self, now: Time, ticket: Ticket, last: Final) {
         let key = ticket.0 as usize;
         let Some(client) = self.clients.get_mut(&key) else { return };
-        client.open = None;
+        let Some((_, pending)) = client.open.take() else { return };
         let keep_alive = client.keep_alive && !self.stopping;
-        client.answer(platform::answer(last), keep_alive);
+        client.answer(self.front.answer(&pending, last), keep_alive);
         self.serve(now, key);
     }
 
-    fn accept(&mut self, now: Time) {
+    fn accept(&mut self, now: Time, at: usize) {
         for _ in 0..ACCEPTS {
             if self.clients.len() >= self.most_clients && !self.make_room() {
                 self.crowded = true;
                 return;
             }
-            let Some(listener) = &self.listener else { return };
+            let Some((_, listener)) = self.listeners.iter().find(|(key, _)| *key == at) else { return };
             match listener.accept() {
                 Ok((stream, _)) => {
                     let key = self.net.new_key();
                     let fit = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
                     if fit.and_then(|()| self.net.poll.add(&stream, key, true, false)).is_ok() {
-                        self.clients.insert(key, Client::new(stream, LISTEN, now));
+                        self.clients.insert(key, Client::new(stream, at, now));
                         self.client_ready(now, key);
                     }
                 }
@@ -246,8 +272,13 @@
                 Err(_) => break,
             }
         }
-        if let Some(listener) = &self.listener {
-            let _ = self.net.poll.ask(listener, LISTEN, true, false);
+        self.listen_on();
+    }
+
+    /// Asks for the next report of each listener.
+    fn listen_on(&self) {
+        for (key, listener) in &self.listeners {
+            let _ = self.net.poll.ask(listener, *key, true, false);
         }
     }
 
@@ -297,27 +328,27 @@
     fn take(&mut self, now: Time, key: usize) {
         let Some(client) = self.clients.get_mut(&key) else { return };
         let since = client.since;
-        let (keep_alive, asked) = match client.reader.request() {
-            Ok(request) => (request.keep_alive, platform::read(&request, &self.settings)),
-            Err(error) => (false, Err(Response::text(error.status(), error.to_string()))),
+        let able = self.core.can_serve() && !self.stopping;
+        let (keep_alive, taken) = match client.reader.request() {
+            Ok(request) => {
+                (request.keep_alive, self.front.take(client.listener == OGC_LISTEN, &request, able))
+            }
+            Err(error) => (false, Taken::Answered(Response::text(error.status(), error.to_string()))),
         };
         client.reader.next();
         client.keep_alive = keep_alive;
         client.since = now;
-        let response = match asked {
-            Err(response) => response,
-            Ok(Asked::Ready) if self.core.can_serve() && !self.stopping => Response::text(200, "up"),
-            Ok(Asked::Ready) => Response::text(503, "not ready"),
-            Ok(Asked::Query(mut query)) => {
+        let response = match taken {
+            Taken::Answered(response) => response,
+            Taken::Query(mut query, pending) => {
                 // The client's time counts from its sending, of which the first byte in is the nearest sign.
                 query.left = query.left.saturating_sub(now.since(since));
                 match self.core.take(now, query, Ticket(key as u64)) {
                     Ok(id) => {
-                        client.open = Some((id, ()));
+                        client.open = Some((id, pending));
                         return;
                     }
-                    Err(NotTaken::Full) => platform::refusal(Duration::ZERO),
-                    Err(NotTaken::NameInUse) => Response::text(409, "X-Request-ID: is in use"),
+                    Err(why) => self.front.not_taken(&pending, why),
                 }
             }
         };
@@ -327,18 +358,23 @@
     fn drop_client(&mut self, key: usize) {
         let Some(client) = self.clients.remove(&key) else { return };
         self.net.poll.remove(&client.stream);
-        if let Some((query, ())) = client.open {
+        if let Some((query, _)) = client.open {
             self.core.client_gone(query);
         }
-        if let (true, Some(listener)) = (std::mem::take(&mut self.crowded), &self.listener) {
-            let _ = self.net.poll.ask(listener, LISTEN, true, false);
+        if std::mem::take(&mut self.crowded) {
+            self.listen_on();
         }
     }
 
     fn sweep(&mut self, now: Time) {
         self.net.wheel.arm(now.after(SWEEP), Due::Sweep);
         self.backend.sweep(&self.net, now);
-        let over = |client: &Client<()>| {
+        match self.inventory.as_mut().map(|inventory| inventory.reread(now)) {
+            Some(Ok(Some(list))) => take_list(&mut self.core, &mut self.backend, &list),
+            Some(Err(error)) => eprintln!("badgergauge: {error}"),
+            _ => {}
+        }
+        let over = |client: &Client<Pending>| {
             let limit = if client.is_idle() { CLIENT_IDLE } else { REQUEST_TIME };
             client.open.is_none() && now.since(client.since) >= limit
         };
@@ -347,12 +383,13 @@
     }
 
     fn tend_watch(&mut self, now: Time) {
-        if self.watch.is_silent(now) {
+        if self.watch.as_ref().is_some_and(|watch| watch.is_silent(now)) {
             self.end_watch(now, "silent");
         }
-        match self.watch.connect(now) {
+        let Some(watch) = &mut self.watch else { return };
+        match watch.connect(now) {
             Ok(true) => {
-                if let Some(stream) = self.watch.stream() {
+                if let Some(stream) = watch.stream() {
                     let _ = self.net.poll.add(stream, WATCH, true, true);
                 }
             }
@@ -363,14 +400,15 @@
     }
 
     fn watch_ready(&mut self, now: Time) {
+        let Some(watch) = &mut self.watch else { return };
         let mut lists = Vec::new();
-        let result = self.watch.ready(now, &mut lists);
+        let result = watch.ready(now, &mut lists);
         for list in lists {
             take_list(&mut self.core, &mut self.backend, &list);
         }
-        match (result, self.watch.stream()) {
+        match (result, watch.stream()) {
             (Ok(()), Some(stream)) => {
-                let _ = self.net.poll.ask(stream, WATCH, true, self.watch.wants_write());
+                let _ = self.net.poll.ask(stream, WATCH, true, watch.wants_write());
             }
             (Ok(()), None) => {}
             (Err(error), _) => self.end_watch(now, &error.to_string()),
@@ -379,7 +417,7 @@
 
     fn end_watch(&mut self, now: Time, why: &str) {
         eprintln!("badgergauge: discovery: {why}");
-        if let Some(stream) = self.watch.drop_link(now) {
+        if let Some(stream) = self.watch.as_mut().and_then(|watch| watch.drop_link(now)) {
             self.net.poll.remove(&stream);
         }
         self.core.servers_failed();
@@ -387,7 +425,8 @@
     }
 
     fn arm_watch(&mut self, now: Time) {
-        self.watch_at = self.watch.due().max(now.after(Duration::from_millis(1)));
+        let Some(watch) = &self.watch else { return };
+        self.watch_at = watch.due().max(now.after(Duration::from_millis(1)));
         self.net.wheel.arm(self.watch_at, Due::Watch);
     }
 
@@ -402,8 +441,10 @@
 
     /// Takes those that already wait in the listener's queue, then closes it and what is idle.
     fn stop_listening(&mut self, now: Time) {
-        self.accept(now);
-        if let Some(listener) = self.listener.take() {
+        for key in [LISTEN, OGC_LISTEN] {
+            self.accept(now, key);
+        }
+        for (_, listener) in self.listeners.drain(..) {
             self.net.poll.remove(&listener);
         }
         for key in self.clients.keys().copied().collect::<Vec<_>>() {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,5 +1,6 @@
 //! Configuration: the one place where it is read, checked and given defaults.
 
+pub mod ogc;
 pub mod settings;
 
 use std::net::SocketAddr;
@@ -9,6 +10,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+use self::ogc::Ogc;
 use self::settings::SiteSettings;
 
 /// What is wrong with the configuration, and where.
@@ -54,8 +56,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Where discovery listens.
-    pub discovery: SocketAddr,
+    /// Where discovery listens; it may be missing where an inventory lists the servers.
+    pub discovery: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Its limits.
@@ -64,8 +66,13 @@
     pub settings: SiteSettings,
     /// The list of servers as it last had it, in discovery's form.
     pub known: Option<Value>,
+    /// The OGC front, where it has a file.
+    pub ogc: Option<Ogc>,
 }
 
+/// The OGC front's file, unless `BALANCER_OGC` names another.
+const OGC_FILE: &str = "deploy/ogc.yaml";
+
 #[derive(Deserialize)]
 struct File {
     #[serde(default)]
@@ -100,8 +107,20 @@
     pub fn from_env() -> Result<Self, ConfigError> {
         let file = env::var_os("BALANCER_CONFIG").map(PathBuf::from);
         let file = file.ok_or_else(|| error("BALANCER_CONFIG", "", "is not set"))?;
-        let text = fs::read_to_string(&file).map_err(|e| error(&place(&file), "", &e.to_string()))?;
-        Self::read(&place(&file), &text, |name| env::var(name).ok())
+        let open =
+            |file: &Path| fs::read_to_string(file).map_err(|e| error(&place(file), "", &e.to_string()));
+        let mut config = Self::read(&place(&file), &open(&file)?, |name| env::var(name).ok())?;
+        let named = env::var_os("BALANCER_OGC").map(PathBuf::from);
+        let ogc = named.clone().unwrap_or_else(|| OGC_FILE.into());
+        // Without a file of its own, and none that was asked for, the front is off.
+        if named.is_some() || ogc.exists() {
+            config.ogc = Ogc::read(&ogc, &open(&ogc)?, &config.settings)?;
+        }
+        if config.discovery.is_none() && config.ogc.as_ref().is_none_or(|ogc| ogc.inventory.is_none()) {
+            let fault = "is missing, BALANCER_DISCOVERY is not set, and no inventory lists the servers";
+            return Err(error(&place(&file), "discovery", fault));
+        }
+        Ok(config)
     }
 
     /// Reads a configuration; a variable that is set goes before the file's key.
@@ -144,7 +163,10 @@
         Ok(Config {
             name: told("BALANCER_NAME", "name", file.name)?.2,
             listen: address(told("BALANCER_LISTEN", "listen", file.listen)?)?,
-            discovery: address(told("BALANCER_DISCOVERY", "discovery", file.discovery)?)?,
+            discovery: told("BALANCER_DISCOVERY", "discovery", file.discovery)
+                .ok()
+                .map(address)
+                .transpose()?,
             seed: u64::from_str_radix(if seed.is_empty() { "0" } else { &seed }, 16)
                 .map_err(|_| error(place, "seed", "must be up to 16 hex digits"))?,
             bounds: Bounds {
@@ -153,6 +175,7 @@
             },
             known: file.known.filter(|known| !known.is_null()),
             settings,
+            ogc: None,
         })
     }
 }
--- /dev/null
+++ b/src/front/ogc/kvp.rs
@@ -0,0 +1,121 @@
+//! Key-value parameters of a request.
+
+use super::Exception;
+
+/// The versions that are spoken.
+const VERSIONS: [&str; 2] = ["2.0.0", "2.0.2"];
+
+/// Parameters by their names in lower case, in the order given.
+pub struct Params(Vec<(String, String)>);
+
+impl Params {
+    /// Takes a query string apart.
+    pub fn read(query: &str) -> Result<Self, Exception> {
+        let mut params: Vec<(String, String)> = Vec::new();
+        for pair in query.split('&').filter(|pair| !pair.is_empty()) {
+            let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
+            let name = decode(name).map(|n| n.to_ascii_lowercase());
+            let name = name.ok_or_else(|| Exception::invalid("request", "a name can't be decoded"))?;
+            let value = decode(value).ok_or_else(|| Exception::invalid(&name, "can't be decoded"))?;
+            if params.iter().any(|(n, _)| *n == name) {
+                return Err(Exception::invalid(&name, "is given twice"));
+            }
+            params.push((name, value));
+        }
+        Ok(Params(params))
+    }
+
+    /// A parameter's value; an empty one counts as absent.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        let value = self.0.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str());
+        value.filter(|value| !value.is_empty())
+    }
+
+    /// A parameter that is a number.
+    pub fn number(&self, name: &str) -> Result<Option<u32>, Exception> {
+        let number =
+            |text: &str| text.parse().map_err(|_| Exception::invalid(name, "must be a whole number"));
+        self.get(name).map(number).transpose()
+    }
+
+    /// Checks the version that all operations but GetCapabilities name.
+    pub fn check_version(&self) -> Result<(), Exception> {
+        match self.get("version") {
+            None => Err(Exception::missing("version")),
+            Some(version) if VERSIONS.contains(&version) => Ok(()),
+            Some(_) => Err(Exception::invalid("version", "must be 2.0.0 or 2.0.2")),
+        }
+    }
+
+    /// Checks the versions that a client accepts, if it says so.
+    pub fn check_accepted_versions(&self) -> Result<(), Exception> {
+        match self.get("acceptversions") {
+            Some(accepted) if !accepted.split(',').any(|v| VERSIONS.contains(&v.trim())) => {
+                let text = "2.0.0 and 2.0.2 are spoken";
+                Err(Exception::new("VersionNegotiationFailed", "acceptVersions", text))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// The same request for another page.
+    pub fn page(&self, url: &str, start: usize, count: usize) -> String {
+        let kept = self.0.iter().filter(|(name, _)| name != "startindex" && name != "count");
+        let kept = kept.map(|(name, value)| format!("{}={}&", name.to_ascii_uppercase(), encode(value)));
+        format!("{url}?{}STARTINDEX={start}&COUNT={count}", kept.collect::<String>())
+    }
+
+    /// What the parts carry: the feature type and what selects its features.
+    pub fn selection(&self, feature: &str) -> String {
+        let selecting = ["resourceid", "bbox", "filter"];
+        let selecting = selecting.into_iter().find_map(|name| Some(format!("&{name}={}", self.get(name)?)));
+        format!("typename={feature}{}", selecting.unwrap_or_default())
+    }
+}
+
+/// A BBOX parameter: four corners, and the coordinate system if it is named.
+pub fn area(text: &str, crs: &str) -> Result<[f64; 4], Exception> {
+    let words: Vec<&str> = text.split(',').map(str::trim).collect();
+    let (corners, named) = words.split_at(words.len().min(4));
+    let corners: Vec<f64> =
+        corners.iter().filter_map(|w| w.parse().ok()).filter(|x: &f64| x.is_finite()).collect();
+    let Ok(area) = <[f64; 4]>::try_from(corners) else {
+        return Err(Exception::invalid("bbox", "must be four numbers"));
+    };
+    if !matches!(named, []) && named != [crs] {
+        return Err(Exception::invalid("bbox", format!("only {crs} is spoken")));
+    }
+    if area[0] > area[2] || area[1] > area[3] {
+        return Err(Exception::invalid("bbox", "the lower corner must come first"));
+    }
+    Ok(area)
+}
+
+fn decode(text: &str) -> Option<String> {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.bytes();
+    while let Some(byte) = rest.next() {
+        bytes.push(match byte {
+            b'+' => b' ',
+            b'%' => {
+                let digit = |byte: Option<u8>| char::from(byte?).to_digit(16);
+                (digit(rest.next())? * 16 + digit(rest.next())?) as u8
+            }
+            other => other,
+        });
+    }
+    String::from_utf8(bytes).ok()
+}
+
+fn encode(text: &str) -> String {
+    let mut out = String::new();
+    for byte in text.bytes() {
+        match byte {
+            b'A'..=b'Z' | b'a'..=b'z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' | b',' | b':' => {
+                out.push(char::from(byte));
+            }
+            other => out += &format!("%{other:02X}"),
+        }
+    }
+    out
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -110,6 +110,7 @@
 pub mod discovery;
 pub mod front;
 pub mod interface;
+pub mod inventory;
 pub mod net;
 
 pub use decide::Router;
