--- a/src/backend.rs
+++ b/src/backend.rs
@@ -560,3 +560,109 @@
 pub fn is_keyed(effect: Effect) -> bool {
     matches!(effect, Effect::Keyed(_))
 }
+
+#[cfg(test)]
+mod tests {
+    use std::net::TcpListener;
+
+    use super::*;
+    use crate::interface::PartId;
+    use crate::net::clock::Clock;
+
+    struct Bench {
+        backend: Backend,
+        net: Net,
+        server: TcpListener,
+    }
+
+    const SERVER: ServerId = ServerId(7);
+
+    fn bench() -> Bench {
+        let config = include_str!("../tests/exchanges/config.json");
+        let config: serde_json::Value = serde_json::from_str(config).expect("JSON");
+        let settings = SiteSettings::read(&config["settings"]).expect("sound");
+        let server = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let mut backend = Backend::new(Arc::new(settings), 10);
+        backend.open(SERVER, server.local_addr().expect("bound"));
+        Bench { backend, net: Net::new(Clock::start()).expect("a poller"), server }
+    }
+
+    impl Bench {
+        fn send(&mut self, part: u64) -> AttemptId {
+            let (attempt, now) = ((PartId(part), 0), self.net.clock.now());
+            let (query, text) = (format!("q{part}").into(), "t".into());
+            let until = now.after(Duration::from_secs(5));
+            let send = Send { attempt, server: SERVER, query, shard: 0, idempotency: None, text, until };
+            self.backend.send(&mut self.net, now, send);
+            attempt
+        }
+
+        /// Handles what the poller reports until so much has ended.
+        fn run(&mut self, ended: usize) -> Vec<(PartId, Verdict)> {
+            while self.backend.done.len() < ended {
+                let mut ready = Vec::new();
+                self.net.poll.wait(None, &mut ready).expect("polls");
+                for report in ready {
+                    let now = self.net.clock.now();
+                    self.backend.ready(&mut self.net, now, report.key, report.readable);
+                }
+            }
+            let verdict = |done| match done {
+                Done::Attempt((part, _), verdict, ..) => (part, verdict),
+                Done::Probe(..) => unreachable!("none was sent"),
+            };
+            self.backend.done.drain(..).map(verdict).collect()
+        }
+    }
+
+    // Guards the verdict on what was never written, in each way a connection may fail to come up, and
+    // that each attempt has one outcome, whatever comes after.
+    #[test]
+    fn what_never_went_out_never_ran() {
+        let mut bench = bench();
+        let attempt = bench.send(1);
+        let key = *bench.backend.links.keys().next().expect("one");
+        bench.backend.connect_time_out(&bench.net, key);
+        bench.backend.give_up(attempt, Verdict::NoAnswer);
+        assert_eq!(bench.run(1), [(PartId(1), Verdict::NoConnection)]);
+
+        let attempt = bench.send(2);
+        bench.backend.give_up(attempt, Verdict::Cancelled);
+        assert_eq!(bench.run(1), [(PartId(2), Verdict::NotSent)]);
+
+        let Bench { server, .. } = std::mem::replace(&mut bench, self::bench());
+        let closed = server.local_addr().expect("bound");
+        drop(server);
+        bench.backend.open(SERVER, closed);
+        bench.send(3);
+        assert_eq!(bench.run(1), [(PartId(3), Verdict::NoConnection)]);
+    }
+
+    // Guards drains: what is queued and not begun when word comes is taken back, and nothing new is taken.
+    #[test]
+    fn a_drained_server_gets_nothing_that_was_queued() {
+        let mut bench = bench();
+        bench.send(1);
+        bench.send(2);
+        bench.backend.shut(SERVER);
+        bench.send(3);
+        let unsent = [1, 2, 3].map(|part| (PartId(part), Verdict::NoConnection));
+        assert_eq!(bench.run(3), unsent);
+        let link = bench.backend.links.values().next().expect("one");
+        assert!(link.waiting.is_empty() && link.outbox.is_empty() && link.parts.is_empty());
+    }
+
+    // Guards the verdict on what was written whole: it may have run.
+    #[test]
+    fn what_went_out_may_have_run() {
+        let mut bench = bench();
+        bench.send(1);
+        let (mut stream, _) = bench.server.accept().expect("the connection comes");
+        let reader = std::thread::spawn(move || {
+            let mut frame = [0; 4 + 1 + "q1.0 0 d=5000 1\nt".len()];
+            stream.read_exact(&mut frame[..20]).expect("the frame comes");
+        });
+        assert_eq!(bench.run(1), [(PartId(1), Verdict::ConnectionLost)]);
+        reader.join().expect("read");
+    }
+}
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -32,8 +32,10 @@
 const CLIENT_MEMORY: usize = MAX_HEAD + 2 * MAX_BODY + 16 * 1024;
 /// Share of the memory that clients' buffers may take.
 const CLIENT_SHARE: usize = 2;
-/// How often idle connections are looked over.
+/// How often idle connections are looked over, and at the least so often in the servers' idle limit: they
+/// must be closed before it.
 const SWEEP: Duration = Duration::from_millis(500);
+const SWEEPS: u32 = 10;
 /// A client that has begun a request has to end it in this time, and a connection that was closed in one
 /// direction is dropped after it.
 const REQUEST_TIME: Duration = Duration::from_secs(10);
@@ -173,14 +175,15 @@
         Ok(())
     }
 
-    /// Whether nothing taken is left to answer.
+    /// Whether nothing taken is left to answer, nor a request that is still coming in.
     fn is_done(&self) -> bool {
-        self.core.open() == 0 && !self.clients.values().any(|client| client.wants_write())
+        let owed = |c: &Client<Pending>| c.wants_write() || (c.reader.begun() && !c.closing);
+        self.core.open() == 0 && !self.clients.values().any(owed)
     }
 
     fn ready(&mut self, now: Time, key: usize, readable: bool) {
         match key {
-            LISTEN | OGC_LISTEN => self.accept(now, key),
+            LISTEN | OGC_LISTEN => drop(self.accept(now, key)),
             SIGNAL => self.stop(now),
             WATCH => self.watch_ready(now),
             _ if self.backend.ready(&mut self.net, now, key, readable) => {}
@@ -253,13 +256,15 @@
         self.serve(now, key);
     }
 
-    fn accept(&mut self, now: Time, at: usize) {
+    /// Takes connections that wait. Gives whether there may be more.
+    fn accept(&mut self, now: Time, at: usize) -> bool {
+        let mut more = true;
         for _ in 0..ACCEPTS {
             if self.clients.len() >= self.most_clients && !self.make_room() {
                 self.crowded = true;
-                return;
+                return false;
             }
-            let Some((_, listener)) = self.listeners.iter().find(|(key, _)| *key == at) else { return };
+            let Some((_, listener)) = self.listeners.iter().find(|(key, _)| *key == at) else { return false };
             match listener.accept() {
                 Ok((stream, _)) => {
                     let key = self.net.new_key();
@@ -271,10 +276,14 @@
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 // Out of descriptors, or the client has left: those that wait come with the next report.
-                Err(_) => break,
+                Err(_) => {
+                    more = false;
+                    break;
+                }
             }
         }
         self.listen_on();
+        more
     }
 
     /// Asks for the next report of each listener.
@@ -304,8 +313,14 @@
 
     /// Takes the requests that are whole, one at a time, and writes what can be written.
     fn serve(&mut self, now: Time, key: usize) {
-        while let Some(client) = self.clients.get_mut(&key) {
-            if client.open.is_some() || client.closing {
+        loop {
+            let Some(client) = self.clients.get_mut(&key) else { return };
+            if client.write() == Fate::Over {
+                self.drop_client(key);
+                return;
+            }
+            // A client that sends on without reading its answers is not taken from until it does.
+            if client.open.is_some() || client.closing || client.wants_write() {
                 break;
             }
             match client.reader.ready() {
@@ -315,10 +330,6 @@
             }
         }
         let Some(client) = self.clients.get_mut(&key) else { return };
-        if client.write() == Fate::Over {
-            self.drop_client(key);
-            return;
-        }
         client.asked_write = client.wants_write();
         let (read, write) = (client.wants_read(), client.asked_write);
         if self.net.poll.ask(&client.stream, key, read, write).is_err() {
@@ -369,7 +380,8 @@
     }
 
     fn sweep(&mut self, now: Time) {
-        self.net.wheel.arm(now.after(SWEEP), Due::Sweep);
+        let pause = SWEEP.min(self.settings.connection_idle / SWEEPS).max(self.settings.module.tick);
+        self.net.wheel.arm(now.after(pause), Due::Sweep);
         self.backend.sweep(&self.net, now);
         match self.inventory.as_mut().map(|inventory| inventory.reread(now)) {
             Some(Ok(Some(list))) => take_list(&mut self.core, &mut self.backend, &list),
@@ -444,7 +456,7 @@
     /// Takes those that already wait in the listener's queue, then closes it and what is idle.
     fn stop_listening(&mut self, now: Time) {
         for key in [LISTEN, OGC_LISTEN] {
-            self.accept(now, key);
+            while self.accept(now, key) {}
         }
         for (_, listener) in self.listeners.drain(..) {
             self.net.poll.remove(&listener);
--- a/src/net/outbox.rs
+++ b/src/net/outbox.rs
@@ -125,4 +125,21 @@
         assert!(outbox.flush(&mut sink).expect("takes the rest"));
         assert_eq!((sink.0.as_slice(), outbox.finished()), (b"abcdefgh".as_slice(), 3));
     }
+
+    // Guards against a begun frame that is cut: only what has not been begun can be taken back.
+    #[test]
+    fn what_was_begun_is_finished() {
+        let mut outbox = Outbox::default();
+        for piece in ["abc", "def", "ghi", "jkl"] {
+            outbox.push(piece.into());
+        }
+        let mut sink = Narrow(Vec::new(), 1);
+        assert!(!outbox.flush(&mut sink).expect("takes one byte"));
+        outbox.replace(0, None);
+        outbox.replace(2, None);
+        outbox.replace(1, Some("DEF".into()));
+        sink.1 = 100;
+        assert!(outbox.flush(&mut sink).expect("takes the rest"));
+        assert_eq!(sink.0, b"abcDEFjkl");
+    }
 }
