Hold classes to a mean at present costs, and check with a narrower spread

Faulty lines: `asked.1 += cost` in `take_part` and CHECK_SPREADS. Ruled out: cold starts (warmth 1 throughout) and lost connections (no bad end on most servers).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,8 +28,9 @@
 const LEAST_TIME: f64 = 0.2;
 /// A class's cost is the mean of about so many outcomes.
 const COST_MEMORY: f64 = 30.0;
-/// The check adds so many spreads to the fit: about five in six parts come sooner.
-const CHECK_SPREADS: f64 = 1.0;
+/// The check adds so many spreads to the fit: about two in three parts come sooner, and early errors, which
+/// make the spread wide, don't shut out parts that idle servers would finish.
+const CHECK_SPREADS: f64 = 0.6;
 /// An attempt is overdue after so many spreads above the fit: few sound ones are.
 const OVERDUE_SPREADS: f64 = 2.5;
 /// Own calls out at the home replica up to which it is kept: one in work, as servers work on several.
@@ -57,7 +58,7 @@
 /// A refused client is asked to stay away for this share of its class's aim.
 const HOLD_OFF_SHARE: f64 = 0.15;
 /// A part's share of the time left shrinks with this power of its worth per work against the mean's.
-const WORTH_POWER: f64 = 0.5;
+const WORTH_POWER: f64 = 0.35;
 /// Least such share, so that an idle server serves anything.
 const LEAST_PATIENCE: f64 = 0.25;
 /// And grows to this at the most, far above the mean: about where the fit without its spread passes.
@@ -205,6 +206,8 @@
     /// Learned cost of a part in units, and how many outcomes taught it.
     cost: f64,
     count: f64,
+    /// Faded count of parts asked.
+    asked: f64,
     /// Time left that most tries come with, by majority vote.
     usual: Duration,
     votes: u8,
@@ -264,8 +267,8 @@
     copies: (f64, f64),
     /// Shares of bad ends of late, of attempts on connections long idle and of those on fresh ones instead.
     ends: [f64; 2],
-    /// Faded worth and work of what was asked, and the work of each cell's shards.
-    asked: (f64, f64),
+    /// Faded worth of what was asked, and the work of each cell's shards.
+    asked: f64,
     cell_asked: BTreeMap<u32, f64>,
     born: Option<Time>,
     steps: u64,
@@ -392,9 +395,9 @@
         self.taken.push_back(self.now);
         let Some(query) = self.queries.get_mut(&part.query) else { return };
         let first = query.parts.is_empty() && !query.second_step;
-        self.asked.0 += f64::from(u8::from(first)) * query.worth;
+        self.asked += f64::from(u8::from(first)) * query.worth;
         let cost = self.classes[query.class].cost;
-        self.asked.1 += cost;
+        self.classes[query.class].asked += 1.0;
         for cell in self.settings.cells_of(part.shard) {
             *self.cell_asked.entry(cell).or_default() += cost;
         }
@@ -467,9 +470,9 @@
         for (rate, used) in &mut self.quotas {
             *used = (*used - elapsed * *rate).max(0.0);
         }
-        for (sum, other) in [&mut self.asked, &mut self.copies] {
-            (*sum, *other) = (*sum * keep, *other * keep);
-        }
+        self.asked *= keep;
+        self.classes.iter_mut().for_each(|class| class.asked *= keep);
+        self.copies = (self.copies.0 * keep, self.copies.1 * keep);
         self.ends.iter_mut().zip(BAD_ENDS).for_each(|(end, start)| *end = start + (*end - start) * keep);
         self.cell_asked.values_mut().for_each(|asked| *asked *= keep);
         let window = self.settings.budget.map_or(Duration::ZERO, |b| b.window);
@@ -569,6 +572,12 @@
         }
     }
 
+    /// Faded work of what was asked, at the costs as known now: summed up at the costs of old, the mean would
+    /// lag behind them, and a class whose cost has just been learned would be held to too much.
+    fn asked_work(&self) -> f64 {
+        self.classes.iter().map(|class| class.asked * class.cost).sum()
+    }
+
     /// Own work at a server, out and planned.
     fn work_at(&self, id: ServerId) -> f64 {
         self.out.get(&id).map_or(0.0, |out| out.work) + self.planned.get(&id).map_or(0.0, |p| p.1)
@@ -614,7 +623,7 @@
         let half = COLD_DEVIATIONS / 2.0;
         let parts = ((half * half + room * nodes / work).sqrt() - half).powi(2);
         // What is asked in a window, of this cell or of the mean one, by the time that was counted over.
-        let mean = self.asked.1 * f64::from(self.settings.width) / f64::from(self.settings.cells);
+        let mean = self.asked_work() * f64::from(self.settings.width) / f64::from(self.settings.cells);
         let cell = self.cell_asked.get(&server.listed.cell).copied().unwrap_or(0.0);
         let age = self.now.since(self.born.unwrap_or(self.now)).as_secs_f64();
         let counted = self.half_life / std::f64::consts::LN_2 * (1.0 - self.keep(age));
@@ -824,7 +833,7 @@
             true => query.parts[index].weight * class.partial_worth,
             false => 1.0 / (missing * query.need),
         };
-        let mean = (self.asked.0 / self.asked.1.max(EPSILON)).max(EPSILON);
+        let mean = (self.asked / self.asked_work().max(EPSILON)).max(EPSILON);
         let patience = (query.worth * earns / self.classes[query.class].cost / mean).powf(WORTH_POWER);
         patience.clamp(LEAST_PATIENCE, 1.0).max(patience / MOST_PATIENCE).min(MOST_PATIENCE)
     }
