SIGHUP rereads the configuration and moves the watch to its discovery

Checked: nothing but SIGTERM was registered (broker.rs, `Broker::start`), so the default action applied; and `BALANCER_DISCOVERY` outranked the file (config/mod.rs, `told`), so a reload could have moved nothing. Ruled out: that the new agent needs the list anew.

Changed: both signals leave a mark and wake the loop; `Config::reread` reads the file whole or not at all and lets its `discovery` go before the variable; `Watch::move_to` keeps the version, the list stays, queries stay. What can't change while running (listen, limits, settings) is named in the log.

The exchange `reload` covers several in a row, faulty files, an agent out of reach and SIGTERM beside it; with the old broker.rs it fails, as the program is gone.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -6,8 +6,11 @@
 use std::net::TcpListener;
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use signal_hook::consts::{SIGHUP, SIGTERM};
+
 use crate::backend::{Backend, Done};
 use crate::config::Config;
 use crate::config::settings::SiteSettings;
@@ -48,6 +51,25 @@
 /// Connections accepted at once, before those that are ready get their turn.
 const ACCEPTS: usize = 64;
 
+/// What signals ask for.
+#[derive(Default)]
+struct Asked {
+    stop: Arc<AtomicBool>,
+    reload: Arc<AtomicBool>,
+}
+
+impl Asked {
+    /// Takes the signals over: each leaves its mark, then a byte on `wake`.
+    fn listen(wake: &UnixStream) -> io::Result<Self> {
+        let asked = Asked::default();
+        for (signal, mark) in [(SIGTERM, &asked.stop), (SIGHUP, &asked.reload)] {
+            signal_hook::flag::register(signal, mark.clone())?;
+            signal_hook::low_level::pipe::register(signal, wake.try_clone()?)?;
+        }
+        Ok(asked)
+    }
+}
+
 /// A broker on its sockets.
 pub struct Broker {
     settings: Arc<SiteSettings>,
@@ -63,6 +85,10 @@
     listeners: Vec<(usize, TcpListener)>,
     front: Front,
     signal: UnixStream,
+    /// What signals have asked for; `signal` wakes the loop to look.
+    asked: Asked,
+    /// What it runs by.
+    config: Config,
     clients: HashMap<usize, Client<Pending>>,
     most_clients: usize,
     /// Whether listeners wait for a client to leave.
@@ -79,18 +105,24 @@
     /// # Errors
     ///
     /// When the configuration can't be followed.
-    pub fn start(config: Config) -> io::Result<Self> {
+    pub fn start(mut config: Config) -> io::Result<Self> {
         let invalid = |fault: String| io::Error::new(io::ErrorKind::InvalidInput, fault);
         let clock = Clock::start();
         let mut net = Net::new(clock)?;
-        let settings = Arc::new(config.settings);
+        // Signals are heeded before anything can go wrong: one that came earlier would end the program.
+        let (signal, wake) = UnixStream::pair()?;
+        signal.set_nonblocking(true)?;
+        wake.set_nonblocking(true)?;
+        let asked = Asked::listen(&wake)?;
+        net.poll.add(&signal, SIGNAL, true, false)?;
+        let settings = Arc::new(config.settings.clone());
         let mut core =
             Core::new(settings.clone(), config.seed).map_err(|error| invalid(error.to_string()))?;
         let backend_links = config.bounds.sockets / 4;
         let by_memory = config.bounds.memory_mb * 1024 * 1024 / CLIENT_SHARE / CLIENT_MEMORY;
         let most_clients = (config.bounds.sockets - RESERVED - backend_links).min(by_memory).max(1);
         let mut backend = Backend::new(settings.clone(), backend_links);
-        let known = config.known.as_ref().map(|known| Listing::from_value(known, &clock)).transpose();
+        let known = config.known.take().map(|known| Listing::from_value(&known, &clock)).transpose();
         let known = known.map_err(|fault| invalid(format!("known.{fault}")))?;
         let index = known.as_ref().map_or(0, |list| list.index);
         if let Some(mut list) = known {
@@ -118,12 +150,7 @@
             take_list(&mut core, &mut backend, &list);
         }
         let watch = config.discovery.filter(|_| inventory.is_none()).map(|at| Watch::new(at, index, clock));
-        let front = Front::new(settings.clone(), config.ogc, config.seed);
-        let (signal, sender) = UnixStream::pair()?;
-        signal.set_nonblocking(true)?;
-        sender.set_nonblocking(true)?;
-        signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, sender)?;
-        net.poll.add(&signal, SIGNAL, true, false)?;
+        let front = Front::new(settings.clone(), config.ogc.clone(), config.seed);
         let now = clock.now();
         net.wheel.arm(now, Due::Watch);
         net.wheel.arm(now.after(SWEEP), Due::Sweep);
@@ -138,6 +165,8 @@
             listeners,
             front,
             signal,
+            asked,
+            config,
             clients: HashMap::new(),
             most_clients,
             crowded: false,
@@ -184,7 +213,7 @@
     fn ready(&mut self, now: Time, key: usize, readable: bool) {
         match key {
             LISTEN | OGC_LISTEN => drop(self.accept(now, key)),
-            SIGNAL => self.stop(now),
+            SIGNAL => self.signalled(now),
             WATCH => self.watch_ready(now),
             _ if self.backend.ready(&mut self.net, now, key, readable) => {}
             _ => self.client_ready(now, key),
@@ -444,9 +473,44 @@
         self.net.wheel.arm(self.watch_at, Due::Watch);
     }
 
-    fn stop(&mut self, now: Time) {
+    fn signalled(&mut self, now: Time) {
+        // Marks are looked at after the bytes are gone: one that comes in between wakes the loop again.
         let _ = self.signal.read(&mut [0; 16]);
         let _ = self.net.poll.ask(&self.signal, SIGNAL, true, false);
+        if self.asked.reload.swap(false, Ordering::SeqCst) {
+            self.reload(now);
+        }
+        if self.asked.stop.load(Ordering::SeqCst) {
+            self.stop(now);
+        }
+    }
+
+    /// Reads the configuration again, whole or not at all, and moves the watch to where it says.
+    fn reload(&mut self, now: Time) {
+        let config = match Config::reread() {
+            Ok(config) => config,
+            Err(error) => {
+                eprintln!("badgergauge: not reloaded: {error}");
+                return;
+            }
+        };
+        let kept = config.kept_until_restart(&self.config);
+        if !kept.is_empty() {
+            eprintln!("badgergauge: reload: {} will change at the next start", kept.join(", "));
+        }
+        let (Some(watch), Some(address)) = (&mut self.watch, config.discovery) else { return };
+        self.config.discovery = config.discovery;
+        if address == watch.address() {
+            return;
+        }
+        eprintln!("badgergauge: reload: discovery is now at {address}, {} open", self.core.open());
+        if let Some(stream) = watch.move_to(address) {
+            self.net.poll.remove(&stream);
+        }
+        self.tend_watch(now);
+    }
+
+    fn stop(&mut self, now: Time) {
         if !std::mem::replace(&mut self.stopping, true) {
             eprintln!("badgergauge: stopping, {} open", self.core.open());
             self.net.wheel.arm(now.after(LAST_LISTENING), Due::StopListening);
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -72,6 +72,8 @@
 
 /// The OGC front's file, unless `BALANCER_OGC` names another.
 const OGC_FILE: &str = "deploy/ogc.yaml";
+/// The variable that outranks the file's `discovery` at the start, and yields to it on a reload.
+const DISCOVERY: &str = "BALANCER_DISCOVERY";
 
 #[derive(Deserialize)]
 struct File {
@@ -105,11 +107,39 @@
     ///
     /// Names the variable, or the file and key, at fault.
     pub fn from_env() -> Result<Self, ConfigError> {
+        Self::load(|name| env::var(name).ok())
+    }
+
+    /// Reads the environment and the file again, while the program runs. Here the file's `discovery` goes
+    /// before the variable, which can't change any more: else nothing could move the watch.
+    ///
+    /// # Errors
+    ///
+    /// Names the variable, or the file and key, at fault.
+    pub fn reread() -> Result<Self, ConfigError> {
+        Self::load(|name| if name == DISCOVERY { None } else { env::var(name).ok() })
+    }
+
+    /// The keys that differ from the running ones and wait for the next start.
+    pub fn kept_until_restart(&self, running: &Config) -> Vec<&'static str> {
+        let keys = [
+            ("name", self.name == running.name),
+            ("listen", self.listen == running.listen),
+            ("limits", self.bounds == running.bounds),
+            ("settings", self.settings == running.settings),
+        ];
+        keys.into_iter().filter_map(|(key, same)| (!same).then_some(key)).collect()
+    }
+
+    fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let file = env::var_os("BALANCER_CONFIG").map(PathBuf::from);
         let file = file.ok_or_else(|| error("BALANCER_CONFIG", "", "is not set"))?;
         let open =
             |file: &Path| fs::read_to_string(file).map_err(|e| error(&place(file), "", &e.to_string()));
-        let mut config = Self::read(&place(&file), &open(&file)?, |name| env::var(name).ok())?;
+        let mut config = Self::read(&place(&file), &open(&file)?, variable)?;
+        if config.discovery.is_none() {
+            config.discovery = env::var(DISCOVERY).ok().map(|at| address(DISCOVERY, "", &at)).transpose()?;
+        }
         let named = env::var_os("BALANCER_OGC").map(PathBuf::from);
         let ogc = named.clone().unwrap_or_else(|| OGC_FILE.into());
         // Without a file of its own, and none that was asked for, the front is off.
@@ -141,9 +171,7 @@
             (None, Some(value)) => Ok((place.to_owned(), key.to_owned(), value)),
             (None, None) => Err(error(place, key, &format!("is missing, and {name} is not set"))),
         };
-        let address = |(place, key, value): (String, String, String)| {
-            value.parse::<SocketAddr>().map_err(|_| error(&place, &key, &format!("{value:?} is no address")))
-        };
+        let address = |(place, key, value): (String, String, String)| address(&place, &key, &value);
         let seed = file.seed.unwrap_or_default();
         let settings = SiteSettings::read(&file.settings)
             .map_err(|e| error(place, &format!("settings.{}", e.key), &e.fault))?;
@@ -163,10 +191,7 @@
         Ok(Config {
             name: told("BALANCER_NAME", "name", file.name)?.2,
             listen: address(told("BALANCER_LISTEN", "listen", file.listen)?)?,
-            discovery: told("BALANCER_DISCOVERY", "discovery", file.discovery)
-                .ok()
-                .map(address)
-                .transpose()?,
+            discovery: told(DISCOVERY, "discovery", file.discovery).ok().map(address).transpose()?,
             seed: u64::from_str_radix(if seed.is_empty() { "0" } else { &seed }, 16)
                 .map_err(|_| error(place, "seed", "must be up to 16 hex digits"))?,
             bounds: Bounds {
@@ -180,6 +205,10 @@
     }
 }
 
+fn address(place: &str, key: &str, value: &str) -> Result<SocketAddr, ConfigError> {
+    value.parse().map_err(|_| error(place, key, &format!("{value:?} is no address")))
+}
+
 fn place(path: &Path) -> String {
     path.display().to_string()
 }
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -30,7 +30,7 @@
 }
 
 /// The settings: what the module takes, and what the broker round it needs.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct SiteSettings {
     /// The module's part.
     pub module: Settings,
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -124,6 +124,18 @@
         Watch { address, clock, index, link: None, back_off: BACK_OFF[0], retry_at: Time(0) }
     }
 
+    /// Where it leads.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Leads it elsewhere, from the version in hand, at once. Gives the socket of the old connection for
+    /// the poller to forget.
+    pub fn move_to(&mut self, address: SocketAddr) -> Option<TcpStream> {
+        *self = Watch { link: self.link.take(), ..Watch::new(address, self.index, self.clock) };
+        self.link.take().map(|link| link.stream)
+    }
+
     /// The socket, while there is one.
     pub fn stream(&self) -> Option<&TcpStream> {
         self.link.as_ref().map(|link| &link.stream)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -61,7 +61,7 @@
 }
 
 /// A class of query.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this time earns the full worth.
     pub aim: Duration,
@@ -84,14 +84,14 @@
 }
 
 /// A tenant and its share of the service.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Queries a second over all front nodes that are within its share.
     pub quota_per_second: f64,
 }
 
 /// The budget of further attempts.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Budget {
     /// The window that counts.
     pub window: Duration,
@@ -102,7 +102,7 @@
 }
 
 /// How a server that has just started must be treated.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ColdStart {
     /// It starts at this fraction of its capacity or above.
     pub from: f64,
@@ -128,7 +128,7 @@
 }
 
 /// All that a router is told at its start. The default is empty, and no router takes it as it is.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// Front nodes that route to the same servers, this one included.
     pub front_nodes: u32,
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -15,6 +15,9 @@
 /// Long after anything that works has happened; no verdict hangs on it.
 const HANGS: Duration = Duration::from_secs(20);
 
+/// The agents of discovery: the one that the program starts with, and another.
+const DISCOVERY: [&str; 2] = ["d", "e"];
+
 /// A listening stand-in: its address and the connections made to it.
 struct StandIn(SocketAddr, Receiver<TcpStream>);
 
@@ -54,7 +57,7 @@
         let dir = std::env::temp_dir().join(format!("badgergauge-{}-{name}", std::process::id()));
         fs::create_dir_all(&dir).expect("a folder");
         let config = serde_json::from_str(include_str!("exchanges/config.json")).expect("JSON");
-        let stand_ins = HashMap::from([("d".to_owned(), StandIn::new())]);
+        let stand_ins = DISCOVERY.map(|name| (name.to_owned(), StandIn::new())).into();
         Player {
             dir,
             stand_ins,
@@ -152,8 +155,13 @@
         }
     }
 
+    fn speaks_frames(&self, actor: &str) -> bool {
+        let kind = actor.trim_end_matches(char::is_numeric);
+        self.stand_ins.contains_key(kind) && !DISCOVERY.contains(&kind)
+    }
+
     fn expect(&mut self, actor: &str, pattern: &str) {
-        if self.stand_ins.contains_key(actor.trim_end_matches(char::is_numeric)) && !actor.starts_with('d') {
+        if self.speaks_frames(actor) {
             let frame = self.frame(actor);
             assert_eq!(matched(&frame, pattern), Some(frame.len()), "{actor}: {frame:?} is not {pattern:?}");
             return;
@@ -174,7 +182,7 @@
         let (head, body) = text.split_once("\r\n\r\n").unwrap_or((text, ""));
         let mut bytes = head.replace("Length: *", &format!("Length: {}", body.len())).into_bytes();
         bytes.extend_from_slice(&text.as_bytes()[head.len()..]);
-        if self.stand_ins.contains_key(actor.trim_end_matches(char::is_numeric)) && !actor.starts_with('d') {
+        if self.speaks_frames(actor) {
             let length = u32::try_from(bytes.len()).expect("short");
             bytes.splice(..0, length.to_be_bytes());
         }
@@ -193,7 +201,8 @@
                 }
             }
             ["set", pointer, value] => {
-                *self.config.pointer_mut(pointer).expect(pointer) = serde_json::from_str(value).expect(value);
+                let value = serde_json::from_str(&self.fill(value)).expect(value);
+                *self.config.pointer_mut(pointer).expect(pointer) = value;
             }
             ["file", name] => {
                 fs::write(self.dir.join(name), self.fill(&text.replace("\r\n", "\n"))).expect("written")
@@ -217,9 +226,10 @@
                 let log = self.log.as_ref().expect("runs");
                 while !log.recv_timeout(HANGS).expect(&words).contains(&words) {}
             }
-            ["term"] => {
+            [signal @ ("TERM" | "HUP")] => {
+                fs::write(self.dir.join("config.json"), self.config.to_string()).expect("written");
                 let id = self.program.as_ref().expect("runs").id().to_string();
-                assert!(Command::new("kill").args(["-TERM", &id]).status().expect("runs").success());
+                assert!(Command::new("kill").args(["-s", signal, &id]).status().expect("runs").success());
             }
             ["exit", code] => {
                 let status = self.program.take().expect("runs").wait().expect("ends");
