A spoilt answer ends its connection at once; good frames before it count

A trace of all that came in from servers showed noise (`xxxx`, random bytes), ends such as `?`, `0` or none, and on good answers reports such as `=,=`, `%%%` and `nan`. After each spoilt one the server never answered on that connection again, but the connection stayed in use and up to ten parts waited on it for their time-outs.

At fault, in backend.rs: `answer` passed over what it could not read and took an unknown end for an error of one part; `frames` gave nothing at all when one length was too long, so good frames read before it were lost; a length that never fills up swallowed all behind it; `read_report` let NaN and negative figures through; parts given up stayed in `link.parts` for good. Ruled out: the decisions (what they saw was a server that hangs).

Changed: good frames are taken, then the connection ends (`ConnectionLost` for what was written); a frame that is begun and not whole after the connect time-out ends it too; a second copy of the last answer is let pass; a connection with parts given up a deadline ago gets nothing new.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -14,6 +14,8 @@
 
 /// Longest frame that is read: a value has to fit into an answer to a client.
 const MAX_FRAME: usize = 64 * 1024;
+/// What a connection's buffer keeps between answers, which are short as a rule.
+const KEPT_BUFFER: usize = 4 * 1024;
 /// Connections to one server at the most; one is the rule.
 const MOST_PER_SERVER: usize = 8;
 /// Connections are closed once idle for this share of the servers' limit: from the limit on, what is
@@ -48,8 +50,8 @@
     attempt: AttemptId,
     /// Its frame's last byte is written: from here on it may run.
     written: bool,
-    /// Nobody waits for it any more, but its answer may still come.
-    abandoned: bool,
+    /// When it was given up: nobody waits for it any more, but its answer may still come.
+    abandoned: Option<Time>,
 }
 
 struct Link {
@@ -62,6 +64,10 @@
     encoded: VecDeque<Frame>,
     outbox: Outbox,
     bytes: Vec<u8>,
+    /// Since when a frame is begun and not whole.
+    begun: Option<Time>,
+    /// The part that was answered last, whose answer may come twice.
+    answered: String,
     /// Parts by their id on the wire, which recurs over a part's attempts.
     parts: HashMap<String, Carried>,
     probes: VecDeque<Time>,
@@ -70,6 +76,9 @@
     asked_write: bool,
     /// The number of the step whose sends may still join the last frame.
     step: u64,
+    /// Parts that were given up long ago are still unanswered on it: it gets nothing new, and ends once
+    /// nobody waits for anything on it.
+    retired: bool,
 }
 
 /// All connections to tile servers.
@@ -145,7 +154,7 @@
         };
         let Some(link) = self.links.get_mut(&key) else { return };
         let (attempt, step) = (send.attempt, self.step);
-        link.parts.insert(name.clone(), Carried { attempt, written: false, abandoned: false });
+        link.parts.insert(name.clone(), Carried { attempt, written: false, abandoned: None });
         self.attempts.insert(attempt, key);
         let batch = self.settings.module.batch as usize;
         match link.waiting.back_mut() {
@@ -174,7 +183,7 @@
     }
 
     /// Stops waiting for an attempt, with this verdict if it may have run.
-    pub fn give_up(&mut self, attempt: AttemptId, verdict: Verdict) {
+    pub fn give_up(&mut self, now: Time, attempt: AttemptId, verdict: Verdict) {
         let Some(&key) = self.attempts.get(&attempt) else { return };
         let Some(link) = self.links.get_mut(&key) else { return };
         if link.take_back(attempt, &self.settings) {
@@ -184,7 +193,7 @@
         let Some((name, part)) = link.parts.iter_mut().find(|(_, part)| part.attempt == attempt) else {
             return;
         };
-        part.abandoned = true;
+        part.abandoned = Some(now);
         link.waiting.push_back(Frame::Cancel(name.clone()));
         self.touched.push(key);
         finish(&mut self.attempts, &mut self.done, attempt, verdict);
@@ -227,18 +236,40 @@
                 result = result.and(link.read(now));
             }
         }
-        let answers = link.frames();
-        let server = link.server;
-        for frame in answers.as_deref().unwrap_or_default() {
-            self.answer(now, key, server, frame);
+        let (server, begun) = (link.server, link.begun);
+        let (frames, mut sound) = link.frames();
+        link.begun =
+            if link.bytes.is_empty() { None } else { begun.filter(|_| frames.is_empty()).or(Some(now)) };
+        if link.begun.is_some() && link.begun != begun {
+            net.wheel.arm(now.after(self.settings.connect_time_out), Due::Stalled(key));
         }
-        match (result, answers) {
-            (Ok(()), Some(_)) => self.ask(net, key, true),
+        // What came whole before the fault counts; behind it nothing can be told apart any more.
+        for frame in &frames {
+            if !self.answer(now, key, server, frame) {
+                sound = false;
+                break;
+            }
+        }
+        if !sound {
+            eprintln!("badgergauge: an answer could not be read: its connection ends");
+        }
+        match (result, sound) {
+            (Ok(()), true) => self.ask(net, key, true),
             _ => self.drop_link(net, key),
         }
         true
     }
 
+    /// A frame that was begun should be whole by now: a server writes each at once, so one that stays
+    /// unfinished has a length that does not fit, and would swallow all answers behind it.
+    pub fn stalled(&mut self, net: &Net, now: Time, key: usize) {
+        let limit = now.before(self.settings.connect_time_out);
+        if self.links.get(&key).and_then(|link| link.begun).is_some_and(|begun| begun <= limit) {
+            eprintln!("badgergauge: an answer did not end: its connection ends");
+            self.drop_link(net, key);
+        }
+    }
+
     /// The time for a connection to come up is over.
     pub fn connect_time_out(&mut self, net: &Net, key: usize) {
         if self.links.get(&key).is_some_and(|link| !link.connected) {
@@ -248,8 +279,15 @@
 
     /// Closes connections that stood idle for long, or that lead to an address of old.
     pub fn sweep(&mut self, net: &Net, now: Time) {
+        // What a server has swallowed would else count against the connection's streams for good.
+        let long_ago =
+            now.before(self.settings.module.classes.iter().map(|c| c.deadline).max().unwrap_or_default());
+        for link in self.links.values_mut() {
+            link.retired |= link.parts.values().any(|p| p.abandoned.is_some_and(|at| at < long_ago));
+        }
         let stale = |(key, link): (&usize, &Link)| {
-            let gone = self.servers.get(&link.server).is_none_or(|s| !s.open || s.address != link.address);
+            let gone = link.retired
+                || self.servers.get(&link.server).is_none_or(|s| !s.open || s.address != link.address);
             (link.is_idle() && (gone || self.is_stale(link, now))).then_some(*key)
         };
         for key in self.links.iter().filter_map(stale).collect::<Vec<_>>() {
@@ -271,6 +309,7 @@
                 // An earlier attempt of the part that was given up may yet be answered, under the same id:
                 // on another connection the two can't be mixed up.
                 link.address == address
+                    && !link.retired
                     && link.parts.len() < self.settings.max_streams
                     && !link.parts.contains_key(name)
                     && !self.is_stale(link, now)
@@ -301,11 +340,14 @@
             encoded: VecDeque::new(),
             outbox: Outbox::default(),
             bytes: Vec::new(),
+            begun: None,
+            answered: String::new(),
             parts: HashMap::new(),
             probes: VecDeque::new(),
             last_used: now,
             asked_write: true,
             step: 0,
+            retired: false,
         };
         self.links.insert(key, link);
         self.servers.get_mut(&id)?.links.push(key);
@@ -331,7 +373,8 @@
         if let Some(server) = self.servers.get_mut(&link.server) {
             server.links.retain(|k| *k != key);
         }
-        let mut parts: Vec<Carried> = link.parts.into_values().filter(|part| !part.abandoned).collect();
+        let mut parts: Vec<Carried> =
+            link.parts.into_values().filter(|part| part.abandoned.is_none()).collect();
         parts.sort_by_key(|part| part.attempt);
         for part in parts {
             let verdict = if part.written { Verdict::ConnectionLost } else { Verdict::NoConnection };
@@ -343,24 +386,26 @@
         }
     }
 
-    /// Takes one frame from a server.
-    fn answer(&mut self, now: Time, key: usize, server: ServerId, frame: &[u8]) {
-        let Some(link) = self.links.get_mut(&key) else { return };
+    /// Takes one frame from a server. Gives whether it made sense: the part that a spoilt one answers can't be
+    /// told, so all that are out on the connection have failed.
+    fn answer(&mut self, now: Time, key: usize, server: ServerId, frame: &[u8]) -> bool {
+        let Some(link) = self.links.get_mut(&key) else { return false };
         match frame.split_first() {
             Some((b'a', rest)) => {
-                let Some((name, verdict, value, load)) = read_answer(rest) else {
-                    eprintln!("badgergauge: an answer could not be read");
-                    return;
+                let Some((name, verdict, value, load)) = read_answer(rest) else { return false };
+                // One that has not been written whole can't be answered.
+                let Some(part) = link.parts.get(name).filter(|part| part.written) else {
+                    return name == link.answered;
                 };
                 // One that was given up is disregarded: its attempt has had its outcome.
-                if let Some(part) = link.parts.remove(name).filter(|part| !part.abandoned)
-                    && self.attempts.remove(&part.attempt).is_some()
-                {
+                if part.abandoned.is_none() && self.attempts.remove(&part.attempt).is_some() {
                     self.done.push(Done::Attempt(part.attempt, verdict, value, load));
                 }
+                link.parts.remove(name);
+                name.clone_into(&mut link.answered);
             }
             Some((b'p' | b'l', rest)) => {
-                let Some(sent) = link.probes.pop_front() else { return };
+                let Some(sent) = link.probes.pop_front() else { return false };
                 let (verdict, load) = match rest {
                     b"broke" => (Verdict::Error, LoadReport::default()),
                     report => (Verdict::Served, read_report(&String::from_utf8_lossy(report))),
@@ -370,8 +415,9 @@
             Some((b'e', words)) => {
                 eprintln!("badgergauge: a frame was not understood: {}", String::from_utf8_lossy(words));
             }
-            _ => {}
+            _ => return false,
         }
+        true
     }
 
     /// Connections that are held.
@@ -398,7 +444,7 @@
             && self.outbox.is_empty()
             && self.waiting.is_empty()
             && self.probes.is_empty()
-            && self.parts.values().all(|part| part.abandoned)
+            && self.parts.values().all(|part| part.abandoned.is_some())
     }
 
     /// Writes what the socket takes.
@@ -449,20 +495,23 @@
         }
     }
 
-    /// Takes the whole frames out of what was read; none if one is longer than any may be.
-    fn frames(&mut self) -> Option<Vec<Vec<u8>>> {
-        let (mut frames, mut at) = (Vec::new(), 0);
+    /// Takes the whole frames out of what was read, and tells whether the rest may become one.
+    fn frames(&mut self) -> (Vec<Vec<u8>>, bool) {
+        let (mut frames, mut at, mut sound) = (Vec::new(), 0, true);
         while let Some((length, rest)) = self.bytes[at..].split_first_chunk::<4>() {
             let length = u32::from_be_bytes(*length) as usize;
-            if length == 0 || length > MAX_FRAME {
-                return None;
+            let known = rest.first().is_none_or(|letter| b"aepl".contains(letter));
+            if length == 0 || length > MAX_FRAME || !known {
+                sound = false;
+                break;
             }
             let Some(frame) = rest.get(..length) else { break };
             frames.push(frame.to_vec());
             at += 4 + length;
         }
         self.bytes.drain(..at);
-        Some(frames)
+        self.bytes.shrink_to(KEPT_BUFFER);
+        (frames, sound)
     }
 
     /// Takes an attempt back whose frame has not been begun.
@@ -529,21 +578,25 @@
     bytes
 }
 
-/// The id, verdict, value and load report of an answer.
+/// The id, verdict, value and load report of an answer. A report that can't be read spoils nothing.
 fn read_answer(rest: &[u8]) -> Option<(&str, Verdict, Option<String>, LoadReport)> {
     let end = rest.iter().position(|&byte| byte == b'\n')?;
-    let mut words = std::str::from_utf8(&rest[..end]).ok()?.split(' ');
-    let (name, verdict, _score) = (words.next()?, words.next()?, words.next());
-    let load = read_report(words.next().unwrap_or("-"));
-    Some(match verdict {
+    // Only the report may hold noise.
+    let mut words = rest[..end].splitn(4, |&byte| byte == b' ');
+    let mut word = || std::str::from_utf8(words.next()?).ok().filter(|word| !word.is_empty());
+    let (name, verdict, _score) = (word()?, word()?, word()?);
+    let load = read_report(&String::from_utf8_lossy(words.next()?));
+    let (verdict, value) = match verdict {
         // A value that is not text can't be passed on unchanged, and nothing else may be passed on.
         "served" => match std::str::from_utf8(&rest[end + 1..]) {
-            Ok(value) => (name, Verdict::Served, Some(value.to_owned()), load),
-            Err(_) => (name, Verdict::Error, None, load),
+            Ok(value) => (Verdict::Served, Some(value.to_owned())),
+            Err(_) => (Verdict::Error, None),
         },
-        "skipped" => (name, Verdict::TurnedAway, None, load),
-        _ => (name, Verdict::Error, None, load),
-    })
+        "broke" => (Verdict::Error, None),
+        "skipped" => (Verdict::TurnedAway, None),
+        _ => return None,
+    };
+    Some((name, verdict, value, load))
 }
 
 /// A load report: `name=value`, apart from each other by commas or semicolons.
@@ -552,6 +605,7 @@
         .split([',', ';'])
         .filter_map(|pair| pair.split_once('='))
         .filter_map(|(name, value)| Some((name.trim(), value.trim().parse().ok()?)))
+        .filter(|(_, figure): &(&str, f64)| figure.is_finite() && *figure >= 0.0)
         .collect();
     load_report(|name| pairs.get(name).copied())
 }
@@ -623,11 +677,11 @@
         let attempt = bench.send(1);
         let key = *bench.backend.links.keys().next().expect("one");
         bench.backend.connect_time_out(&bench.net, key);
-        bench.backend.give_up(attempt, Verdict::NoAnswer);
+        bench.backend.give_up(bench.net.clock.now(), attempt, Verdict::NoAnswer);
         assert_eq!(bench.run(1), [(PartId(1), Verdict::NoConnection)]);
 
         let attempt = bench.send(2);
-        bench.backend.give_up(attempt, Verdict::Cancelled);
+        bench.backend.give_up(bench.net.clock.now(), attempt, Verdict::Cancelled);
         assert_eq!(bench.run(1), [(PartId(2), Verdict::NotSent)]);
 
         let Bench { server, .. } = std::mem::replace(&mut bench, self::bench());
@@ -652,6 +706,44 @@
         assert!(link.waiting.is_empty() && link.outbox.is_empty() && link.parts.is_empty());
     }
 
+    // Guards the streams of a connection: what a server has swallowed does not use them up for good. The
+    // connection gets nothing new, and ends once nobody waits for anything on it.
+    #[test]
+    fn a_connection_with_swallowed_parts_is_left() {
+        let mut bench = bench();
+        let (first, second) = (bench.send(1), bench.send(2));
+        let written =
+            |bench: &Bench| bench.backend.links.values().all(|l| l.parts.values().all(|p| p.written));
+        while !written(&bench) {
+            let mut ready = Vec::new();
+            bench.net.poll.wait(None, &mut ready).expect("polls");
+            for report in ready {
+                let now = bench.net.clock.now();
+                bench.backend.ready(&mut bench.net, now, report.key, report.readable);
+            }
+        }
+        let now = bench.net.clock.now();
+        bench.backend.give_up(now, first, Verdict::Cancelled);
+        bench.backend.sweep(&bench.net, now.after(Duration::from_secs(59)));
+        bench.send(3);
+        assert_eq!(bench.backend.held(), 1);
+        bench.backend.sweep(&bench.net, now.after(Duration::from_secs(61)));
+        bench.send(4);
+        assert_eq!(bench.backend.held(), 2);
+        bench.backend.give_up(now, second, Verdict::Cancelled);
+        bench.backend.give_up(now, (PartId(3), 0), Verdict::Cancelled);
+        bench.backend.flush(&mut bench.net, now);
+        bench.backend.sweep(&bench.net, now.after(Duration::from_secs(61)));
+        assert_eq!(bench.backend.held(), 1);
+    }
+
+    // Guards the decisions against figures that no server can mean.
+    #[test]
+    fn reports_that_make_no_sense_are_left_out() {
+        let report = read_report("pending=nan,busy_reqs=-1;cpu_share=inf,svc_ms=2,=,%");
+        assert_eq!(report, LoadReport { service_seconds: Some(2e-3), ..LoadReport::default() });
+    }
+
     // Guards the verdict on what was written whole: it may have run.
     #[test]
     fn what_went_out_may_have_run() {
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -228,8 +228,9 @@
                     self.carry_out(now, command);
                 }
             }
-            Due::TimeOut(attempt) => self.backend.give_up(attempt, Verdict::NoAnswer),
+            Due::TimeOut(attempt) => self.backend.give_up(now, attempt, Verdict::NoAnswer),
             Due::Connect(key) => self.backend.connect_time_out(&self.net, key),
+            Due::Stalled(key) => self.backend.stalled(&self.net, now, key),
             Due::Watch if now < self.watch_at => {}
             Due::Watch => self.tend_watch(now),
             Due::Sweep => self.sweep(now),
@@ -265,7 +266,7 @@
                 self.net.wheel.arm(send.until, Due::TimeOut(send.attempt));
                 self.backend.send(&mut self.net, now, send);
             }
-            Command::Cancel(attempt) => self.backend.give_up(attempt, Verdict::Cancelled),
+            Command::Cancel(attempt) => self.backend.give_up(now, attempt, Verdict::Cancelled),
             Command::CloseIdle(server) => self.backend.close_idle(&self.net, server),
             Command::Probe(server) => self.backend.probe(&mut self.net, now, server),
             Command::Finish(ticket, last) => self.finish(now, ticket, last),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -29,6 +29,8 @@
     TimeOut(AttemptId),
     /// The end of the wait for a connection to a server, by its key.
     Connect(usize),
+    /// The end of the wait for the rest of an answer, by its connection's key.
+    Stalled(usize),
     /// Discovery's silence, or the wait before the next watch.
     Watch,
     /// A look over connections that stand idle.
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -257,6 +257,10 @@
                 let before = self.link(actor).1.len();
                 assert_eq!(self.read(actor), before, "{actor}: more came");
             }
+            [actor, "raw"] => {
+                let bytes = self.fill(text).into_bytes();
+                self.link(actor).0.write_all(&bytes).expect("written");
+            }
             [actor, ">"] => self.send(actor, &self.fill(text)),
             [actor, "<"] => self.expect(actor, &self.fill(text)),
             _ => panic!("unknown line {words:?}"),
@@ -275,6 +279,12 @@
     Some(if pattern.ends_with('*') { text.len() } else { at })
 }
 
+fn unescape(text: &str) -> String {
+    [("\\r", "\r"), ("\\n", "\n"), ("\\0", "\0")]
+        .iter()
+        .fold(text.to_owned(), |text, (from, to)| text.replace(from, to))
+}
+
 #[rstest]
 fn the_program_answers_as_recorded(#[files("tests/exchanges/*.txt")] file: PathBuf) {
     let script = fs::read_to_string(&file).expect("read");
@@ -285,21 +295,21 @@
             continue;
         }
         // What follows a mark on its line is text with escapes; without any, the indented lines below are.
-        let (words, text) =
-            match [" < ", " > ", " chunk "].iter().find_map(|mark| Some((*mark, line.split_once(mark)?))) {
-                Some((mark, (actor, text))) => {
-                    (vec![actor, mark.trim()], text.replace("\\r", "\r").replace("\\n", "\n"))
-                }
-                None => {
-                    let mut block = Vec::new();
-                    while let Some(line) = lines.next_if(|line| line.starts_with("  ")) {
-                        block.push(&line[2..]);
-                    }
-                    // A block that ends in an empty line is a head, whole.
-                    let end = if block.last() == Some(&"") { "\r\n" } else { "" };
-                    (line.split(' ').collect(), block.join("\r\n") + end)
+        let (words, text) = match [" < ", " > ", " raw ", " chunk "]
+            .iter()
+            .find_map(|mark| Some((*mark, line.split_once(mark)?)))
+        {
+            Some((mark, (actor, text))) => (vec![actor, mark.trim()], unescape(text)),
+            None => {
+                let mut block = Vec::new();
+                while let Some(line) = lines.next_if(|line| line.starts_with("  ")) {
+                    block.push(&line[2..]);
                 }
-            };
+                // A block that ends in an empty line is a head, whole.
+                let end = if block.last() == Some(&"") { "\r\n" } else { "" };
+                (line.split(' ').collect(), block.join("\r\n") + end)
+            }
+        };
         eprintln!("{line}");
         player.play(&words, &text);
     }
