Clients get bounded turns, 2 s for a first request, and are charged what they hold

At fault: `Client::read` read on for as long as a refused client kept sending (client.rs, the `closing` arm), so endless heads and 60 MB bodies were read away whole; broker.rs gave 10 s to end a request and 120 s to say nothing; a body refused while the reader was full was never read again; `CLIENT_MEMORY` charged 160 KB to each client whatever it held, so that 32 MB admitted 102. Checked and sound already: both length and coding, every malformed field of the exchange `malformed`.

Changed: four reads and eight requests to a turn, the rest in the next; at most 256 KB read away after the last answer; 2 s for the first request from connecting on, 408 where it was begun; 4 s idle; readers' real capacity is counted, and only what exceeds an ordinary request is refused beyond it; room is made first by those that say nothing.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -21,7 +21,7 @@
 use crate::inventory::Inventory;
 use crate::net::client::{Client, Fate};
 use crate::net::clock::Clock;
-use crate::net::http::{MAX_BODY, MAX_HEAD, Response};
+use crate::net::http::Response;
 use crate::net::{Due, Net};
 
 const LISTEN: usize = 0;
@@ -31,19 +31,28 @@
 
 /// Descriptors for all but clients and tile servers: standard streams, poller, signal, listeners, watch.
 const RESERVED: usize = 24;
-/// A client may cost so much memory at the worst: a request and its body, as they came and decoded.
-const CLIENT_MEMORY: usize = MAX_HEAD + 2 * MAX_BODY + 16 * 1024;
-/// Share of the memory that clients' buffers may take.
-const CLIENT_SHARE: usize = 2;
+/// A client without a request costs about so much memory, beside what its buffers hold.
+const CLIENT_MEMORY: usize = 4 * 1024;
+/// Share of the memory that clients may take, and as much again for what their buffers hold.
+const CLIENT_SHARE: usize = 4;
+/// What a client's buffer may hold while buffers together hold more than they may: an ordinary request.
+const MODEST: usize = 4 * 1024;
 /// How often idle connections are looked over, and at the least so often in the servers' idle limit: they
 /// must be closed before it.
 const SWEEP: Duration = Duration::from_millis(500);
 const SWEEPS: u32 = 10;
-/// A client that has begun a request has to end it in this time, and a connection that was closed in one
-/// direction is dropped after it.
-const REQUEST_TIME: Duration = Duration::from_secs(10);
+/// A client has to end its first request in this time after it has connected, and each other one in this time
+/// after it has begun it; a connection that was closed in one direction is dropped after it. With a sweep's
+/// pause that is under the 3 s in which whoever sends nothing of use is to be told.
+const REQUEST_TIME: Duration = Duration::from_millis(2000);
 /// Clients' connections are closed when idle for so long.
-const CLIENT_IDLE: Duration = Duration::from_secs(120);
+const CLIENT_IDLE: Duration = Duration::from_secs(4);
+/// A client that has not sent anything for so long after connecting may have to make room for another.
+const SILENT: Duration = Duration::from_millis(100);
+/// And one that has not ended its first request for so long.
+const SLOW: Duration = Duration::from_millis(500);
+/// Requests taken of one client in one turn.
+const TURN: usize = 8;
 /// After SIGTERM clients still come for a while; so long they are listened to.
 const LAST_LISTENING: Duration = Duration::from_millis(500);
 /// What a request and its answer spend on the way, which the broker can't see.
@@ -91,6 +100,11 @@
     config: Config,
     clients: HashMap<usize, Client<Pending>>,
     most_clients: usize,
+    /// What clients' buffers hold, and what they may hold together.
+    buffered: usize,
+    most_buffered: usize,
+    /// Clients that have had their turn and have more requests in.
+    again: Vec<usize>,
     /// Whether listeners wait for a client to leave.
     crowded: bool,
     stopping: bool,
@@ -119,7 +133,8 @@
         let mut core =
             Core::new(settings.clone(), config.seed).map_err(|error| invalid(error.to_string()))?;
         let backend_links = config.bounds.sockets / 4;
-        let by_memory = config.bounds.memory_mb * 1024 * 1024 / CLIENT_SHARE / CLIENT_MEMORY;
+        let memory = config.bounds.memory_mb * 1024 * 1024;
+        let by_memory = memory / CLIENT_SHARE / CLIENT_MEMORY;
         let most_clients = (config.bounds.sockets - RESERVED - backend_links).min(by_memory).max(1);
         let mut backend = Backend::new(settings.clone(), backend_links);
         let known = config.known.take().map(|known| Listing::from_value(&known, &clock)).transpose();
@@ -169,6 +184,9 @@
             config,
             clients: HashMap::new(),
             most_clients,
+            buffered: 0,
+            most_buffered: memory / CLIENT_SHARE,
+            again: Vec::new(),
             crowded: false,
             stopping: false,
             last_step: Time(0),
@@ -187,8 +205,13 @@
             let now = self.net.clock.now();
             let step = self.core.has_news().then(|| self.last_step.after(self.settings.module.tick));
             let wake = self.net.wheel.next().into_iter().chain(step).min();
-            self.net.poll.wait(wake.map(|at| at.since(now)), &mut ready)?;
+            let pause =
+                if self.again.is_empty() { wake.map(|at| at.since(now)) } else { Some(Duration::ZERO) };
+            self.net.poll.wait(pause, &mut ready)?;
             let now = self.net.clock.now();
+            for key in std::mem::take(&mut self.again) {
+                self.serve(now, key);
+            }
             for report in ready.drain(..) {
                 self.ready(now, report.key, report.readable);
             }
@@ -290,7 +313,7 @@
     fn accept(&mut self, now: Time, at: usize) -> bool {
         let mut more = true;
         for _ in 0..ACCEPTS {
-            if self.clients.len() >= self.most_clients && !self.make_room() {
+            if self.clients.len() >= self.most_clients && !self.make_room(now) {
                 self.crowded = true;
                 return false;
             }
@@ -323,19 +346,31 @@
         }
     }
 
-    /// Closes the client's connection that has been idle longest.
-    fn make_room(&mut self) -> bool {
-        let idle = self.clients.iter().filter(|(_, client)| client.is_idle());
-        let Some(key) = idle.min_by_key(|(_, client)| client.since).map(|(key, _)| *key) else {
-            return false;
+    /// Closes the connection that is missed least: one that is over but for its end, or on which nothing was
+    /// said for a while; the one that has been idle longest; one that does not get on with its first request.
+    fn make_room(&mut self, now: Time) -> bool {
+        let rank = |client: &Client<Pending>| {
+            let age = now.since(client.accepted);
+            match (client.is_idle(), client.asked) {
+                (false, _) if client.closing && !client.wants_write() => Some(0),
+                (true, false) if age >= SILENT => Some(0),
+                (true, true) => Some(1),
+                (true, false) => Some(2),
+                (false, false) if client.open.is_none() && age >= SLOW => Some(3),
+                _ => None,
+            }
         };
+        let ranked = self.clients.iter().filter_map(|(key, c)| Some((rank(c)?, c.since, *key)));
+        let Some((.., key)) = ranked.min() else { return false };
         self.drop_client(key);
         true
     }
 
     fn client_ready(&mut self, now: Time, key: usize) {
         let Some(client) = self.clients.get_mut(&key) else { return };
-        match client.read(now) {
+        let fate = client.read(now);
+        self.charge(key);
+        match fate {
             Fate::Over => self.drop_client(key),
             Fate::Open => self.serve(now, key),
         }
@@ -343,6 +378,19 @@
 
     /// Takes the requests that are whole, one at a time, and writes what can be written.
     fn serve(&mut self, now: Time, key: usize) {
+        self.serve_turn(now, key);
+        self.charge(key);
+    }
+
+    /// Counts what a client's buffer holds now.
+    fn charge(&mut self, key: usize) {
+        let Some(client) = self.clients.get_mut(&key) else { return };
+        let held = client.reader.held();
+        self.buffered = self.buffered - std::mem::replace(&mut client.charged, held) + held;
+    }
+
+    fn serve_turn(&mut self, now: Time, key: usize) {
+        let mut turn = 0;
         loop {
             let Some(client) = self.clients.get_mut(&key) else { return };
             if client.write() == Fate::Over {
@@ -354,8 +402,18 @@
                 break;
             }
             match client.reader.ready() {
+                Ok(false) if self.buffered > self.most_buffered && client.reader.held() > MODEST => {
+                    client.answer(Response::text(503, "too much to hold: try again"), false);
+                }
                 Ok(false) => break,
-                Ok(true) => self.take(now, key),
+                Ok(true) if turn == TURN => {
+                    self.again.push(key);
+                    break;
+                }
+                Ok(true) => {
+                    turn += 1;
+                    self.take(now, key);
+                }
                 Err(error) => client.answer(Response::text(error.status(), error.to_string()), false),
             }
         }
@@ -371,6 +429,7 @@
     fn take(&mut self, now: Time, key: usize) {
         let Some(client) = self.clients.get_mut(&key) else { return };
         let since = client.since;
+        client.asked = true;
         let able = self.core.can_serve() && !self.stopping;
         let (keep_alive, taken) = match client.reader.request() {
             Ok(request) => {
@@ -401,6 +460,7 @@
     fn drop_client(&mut self, key: usize) {
         let Some(client) = self.clients.remove(&key) else { return };
         self.net.poll.remove(&client.stream);
+        self.buffered -= client.charged;
         if let Some((query, _)) = client.open {
             self.core.client_gone(query);
         }
@@ -418,12 +478,22 @@
             Some(Err(error)) => eprintln!("badgergauge: {error}"),
             _ => {}
         }
-        let over = |client: &Client<Pending>| {
-            let limit = if client.is_idle() { CLIENT_IDLE } else { REQUEST_TIME };
-            client.open.is_none() && now.since(client.since) >= limit
+        let over = |client: &Client<Pending>| match (client.asked || client.closing, client.is_idle()) {
+            _ if client.open.is_some() => false,
+            (false, _) => now.since(client.accepted) >= REQUEST_TIME,
+            (true, true) => now.since(client.since) >= CLIENT_IDLE,
+            (true, false) => now.since(client.since) >= REQUEST_TIME,
         };
         let over: Vec<usize> = self.clients.iter().filter(|(_, c)| over(c)).map(|(key, _)| *key).collect();
-        over.into_iter().for_each(|key| self.drop_client(key));
+        for key in over {
+            match self.clients.get_mut(&key) {
+                Some(client) if client.reader.begun() && !client.closing => {
+                    client.answer(Response::text(408, "the request did not end in time"), false);
+                    self.serve(now, key);
+                }
+                _ => self.drop_client(key),
+            }
+        }
     }
 
     fn tend_watch(&mut self, now: Time) {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -7,6 +7,11 @@
 use super::outbox::Outbox;
 use crate::interface::{QueryId, Time};
 
+/// Reads of one turn: a client that sends without a pause must not keep the loop from the others.
+const READS: usize = 4;
+/// So much is read away after the last answer; a client that still sends then gets a reset.
+const LINGER: usize = 256 * 1024;
+
 /// A connection, with what is open on it.
 pub struct Client<P> {
     /// The socket.
@@ -19,6 +24,12 @@
     pub open: Option<(QueryId, P)>,
     /// When the request that is coming in, or waits for its answer, began.
     pub since: Time,
+    /// When it was accepted.
+    pub accepted: Time,
+    /// Whether a request has come whole on it.
+    pub asked: bool,
+    /// Memory that it was last found to hold.
+    pub charged: usize,
     /// Whether the request allows another after it.
     pub keep_alive: bool,
     /// Whether it ends once all is written.
@@ -26,8 +37,10 @@
     /// Whether the poller was asked for writability.
     pub asked_write: bool,
     outbox: Outbox,
-    /// All is said; what still comes is read away so that the answer isn't lost to a reset.
-    lingers: bool,
+    /// Whether its end was written behind the last answer.
+    shut: bool,
+    /// What came after the last answer and was read away, so that the answer isn't lost to a reset.
+    lingered: usize,
 }
 
 /// What became of a connection.
@@ -48,11 +61,15 @@
             reader: Reader::default(),
             open: None,
             since: now,
+            accepted: now,
+            asked: false,
+            charged: 0,
             keep_alive: true,
             closing: false,
             asked_write: false,
             outbox: Outbox::default(),
-            lingers: false,
+            shut: false,
+            lingered: 0,
         }
     }
 
@@ -71,13 +88,21 @@
         !self.reader.full()
     }
 
-    /// Reads what is there.
+    /// Reads what is there, or as much of it as one turn allows; the rest is reported again.
     pub fn read(&mut self, now: Time) -> Fate {
         let mut buffer = [0; 8 * 1024];
-        while self.wants_read() {
+        for _ in 0..READS {
+            if !self.wants_read() {
+                break;
+            }
             match self.stream.read(&mut buffer) {
                 Ok(0) => return Fate::Over,
-                Ok(_) if self.closing => {}
+                Ok(read) if self.closing => {
+                    self.lingered += read;
+                    if self.lingered > LINGER {
+                        return Fate::Over;
+                    }
+                }
                 Ok(read) => {
                     if !self.reader.begun() && self.open.is_none() {
                         self.since = now;
@@ -97,6 +122,9 @@
         self.outbox.push(response.head(keep_alive));
         self.outbox.push(response.body);
         self.closing = !keep_alive;
+        if self.closing {
+            self.reader = Reader::default();
+        }
     }
 
     /// Writes what the socket takes. An answer after which the connection ends is followed by its end
@@ -104,8 +132,8 @@
     pub fn write(&mut self) -> Fate {
         match self.outbox.flush(&mut self.stream) {
             Err(_) => Fate::Over,
-            Ok(true) if self.closing && !self.lingers => {
-                self.lingers = true;
+            Ok(true) if self.closing && !self.shut => {
+                self.shut = true;
                 match self.stream.shutdown(Shutdown::Write) {
                     Ok(()) => Fate::Open,
                     Err(_) => Fate::Over,
@@ -115,3 +143,30 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::io::Write;
+    use std::net::TcpListener;
+
+    use super::*;
+
+    // Guards the loop's turns: one that sends without a pause is read so much of at a time, and no more than
+    // a fixed amount is read away after its last answer.
+    #[test]
+    fn one_that_sends_without_a_pause_gets_its_turn_alone() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let mut flood = TcpStream::connect(listener.local_addr().expect("bound")).expect("taken");
+        let (stream, _) = listener.accept().expect("comes");
+        let sender = std::thread::spawn(move || while flood.write_all(&[b'x'; 4096]).is_ok() {});
+        let mut client: Client<()> = Client::new(stream, 0, Time(0));
+        assert_eq!(client.read(Time(0)), Fate::Open);
+        assert!(client.reader.begun() && client.reader.held() <= 2 * READS * 8 * 1024);
+        client.answer(Response::text(413, "too long"), false);
+        let turns = (0..).take_while(|_| client.read(Time(0)) == Fate::Open).count();
+        assert!(turns >= LINGER / (READS * 8 * 1024) - 1, "{turns}");
+        assert!((LINGER..LINGER + 8 * 1024 + 1).contains(&client.lingered), "{}", client.lingered);
+        drop(client);
+        sender.join().expect("its connection was reset");
+    }
+}
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -6,6 +6,8 @@
 pub const MAX_HEAD: usize = 16 * 1024;
 /// Longest body that is taken.
 pub const MAX_BODY: usize = 64 * 1024;
+/// What a connection's buffer keeps between requests.
+const KEPT_BUFFER: usize = 2 * 1024;
 const MAX_HEADERS: usize = 64;
 /// Longest line with the size of a chunk, and longest trailer line.
 const MAX_CHUNK_LINE: usize = 1024;
@@ -174,6 +176,11 @@
         !self.bytes.is_empty()
     }
 
+    /// Memory that it holds.
+    pub fn held(&self) -> usize {
+        self.bytes.capacity() + self.body.capacity()
+    }
+
     /// Whether so much is in that reading on can wait until it is used.
     pub fn full(&self) -> bool {
         self.bytes.len() > MAX_HEAD + MAX_BODY
@@ -255,7 +262,7 @@
             None => 0,
         };
         self.bytes.drain(..used.min(self.bytes.len()));
-        self.bytes.shrink_to(MAX_HEAD);
+        self.bytes.shrink_to(KEPT_BUFFER);
         self.body = Vec::new();
         self.seen = 0;
     }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -257,6 +257,15 @@
                 let before = self.link(actor).1.len();
                 assert_eq!(self.read(actor), before, "{actor}: more came");
             }
+            [actor, "floods"] => {
+                let stream = &mut self.link(actor).0;
+                stream.set_write_timeout(Some(HANGS)).expect("set");
+                let error = (0..60_000).find_map(|_| stream.write_all(&[b'x'; 1000]).err()).expect("refused");
+                assert!(
+                    matches!(error.kind(), ErrorKind::ConnectionReset | ErrorKind::BrokenPipe),
+                    "{error}"
+                );
+            }
             [actor, "raw"] => {
                 let bytes = self.fill(text).into_bytes();
                 self.link(actor).0.write_all(&bytes).expect("written");
