A stopping broker goes on on the connections it has while deadlines allow

Traced: n1 was told to stop at 15.5 s and n0 at 18.5 s, before n1 was back (18.9 s). Our log shows each broker closing all its idle connections 0.5 s after SIGTERM (`stop_listening`) and marking each answer `Connection: close` from the signal on (`finish`, `take`), so that for some 0.6 s no client had a broker to ask. Ruled out: requests taken and not answered (none lost), slow restarts (0.0 s), servers (none in trouble in that window).

Changed: after SIGTERM requests are still taken on the connections there are until two aims before the end of the longest deadline (3 s at most) and half a second; queries taken then have to end by that. It ends at once when its clients have left. Where deadlines leave no such time all is as before (`stop`).

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -55,6 +55,10 @@
 const TURN: usize = 8;
 /// After SIGTERM clients still come for a while; so long they are listened to.
 const LAST_LISTENING: Duration = Duration::from_millis(500);
+/// After SIGTERM a broker may go on for the longest deadline, or this, and `LAST_LISTENING` more.
+const LONGEST_STOP: Duration = Duration::from_secs(3);
+/// Queries that are taken until the last have so many of the longest aim left until then.
+const LAST_AIMS: u32 = 2;
 /// What a request and its answer spend on the way, which the broker can't see.
 const ON_THE_WAY: Duration = Duration::from_millis(5);
 /// Connections accepted at once, before those that are ready get their turn.
@@ -79,6 +83,16 @@
     }
 }
 
+/// How a stop goes on. Clients that still have a connection use it while it is open, and whoever restarts
+/// brokers in turn may stop this one before the last is back: closing them early would leave them without any.
+#[derive(Clone, Copy)]
+struct Stop {
+    /// Until then requests are taken on the connections there are.
+    serves_until: Time,
+    /// By then all is answered.
+    ends_by: Time,
+}
+
 /// A broker on its sockets.
 pub struct Broker {
     settings: Arc<SiteSettings>,
@@ -107,7 +121,8 @@
     again: Vec<usize>,
     /// Whether listeners wait for a client to leave.
     crowded: bool,
-    stopping: bool,
+    /// After SIGTERM, what is left to do until when.
+    stopping: Option<Stop>,
     last_step: Time,
     /// What the step under way wants done.
     commands: Vec<Command>,
@@ -188,7 +203,7 @@
             most_buffered: memory / CLIENT_SHARE,
             again: Vec::new(),
             crowded: false,
-            stopping: false,
+            stopping: None,
             last_step: Time(0),
             commands: Vec::new(),
         })
@@ -201,7 +216,7 @@
     /// When the poller fails.
     pub fn run(mut self) -> io::Result<()> {
         let (mut ready, mut due) = (Vec::new(), Vec::new());
-        while !(self.stopping && self.listeners.is_empty() && self.is_done()) {
+        while !(self.stopping.is_some() && self.listeners.is_empty() && self.is_done()) {
             let now = self.net.clock.now();
             let step = self.core.has_news().then(|| self.last_step.after(self.settings.module.tick));
             let wake = self.net.wheel.next().into_iter().chain(step).min();
@@ -227,8 +242,16 @@
         Ok(())
     }
 
+    /// Whether the connections there are will end, as their next answer says.
+    fn is_leaving(&self, now: Time) -> bool {
+        self.stopping.is_some_and(|stop| now >= stop.serves_until)
+    }
+
     /// Whether nothing taken is left to answer, nor a request that is still coming in.
     fn is_done(&self) -> bool {
+        if !self.is_leaving(self.net.clock.now()) {
+            return self.clients.is_empty();
+        }
         let owed = |c: &Client<Pending>| c.wants_write() || (c.reader.begun() && !c.closing);
         self.core.open() == 0 && !self.clients.values().any(owed)
     }
@@ -258,6 +281,7 @@
             Due::Watch => self.tend_watch(now),
             Due::Sweep => self.sweep(now),
             Due::StopListening => self.stop_listening(now),
+            Due::StopServing => self.stop_serving(now),
         }
     }
 
@@ -301,10 +325,10 @@
     }
 
     fn finish(&mut self, now: Time, ticket: Ticket, last: Final) {
-        let key = ticket.0 as usize;
+        let (key, leaving) = (ticket.0 as usize, self.is_leaving(now));
         let Some(client) = self.clients.get_mut(&key) else { return };
         let Some((_, pending)) = client.open.take() else { return };
-        let keep_alive = client.keep_alive && !self.stopping;
+        let keep_alive = client.keep_alive && !leaving;
         client.answer(self.front.answer(&pending, last), keep_alive);
         self.serve(now, key);
     }
@@ -427,10 +451,11 @@
 
     /// Takes the request that a client's connection holds whole.
     fn take(&mut self, now: Time, key: usize) {
+        let leaving = self.is_leaving(now);
         let Some(client) = self.clients.get_mut(&key) else { return };
         let since = client.since;
         client.asked = true;
-        let able = self.core.can_serve() && !self.stopping;
+        let able = self.core.can_serve() && self.stopping.is_none();
         let (keep_alive, taken) = match client.reader.request() {
             Ok(request) => {
                 (request.keep_alive, self.front.take(client.listener == OGC_LISTEN, &request, able))
@@ -445,6 +470,9 @@
             Taken::Query(mut query, pending) => {
                 // The client's time counts from its sending, of which the first byte in is the nearest sign.
                 query.left = query.left.saturating_sub(now.since(since) + ON_THE_WAY);
+                if let Some(stop) = self.stopping {
+                    query.left = query.left.min(stop.ends_by.since(now));
+                }
                 match self.core.take(now, query, Ticket(key as u64)) {
                     Ok(id) => {
                         client.open = Some((id, pending));
@@ -454,7 +482,7 @@
                 }
             }
         };
-        client.answer(response, keep_alive && !self.stopping);
+        client.answer(response, keep_alive && !leaving);
     }
 
     fn drop_client(&mut self, key: usize) {
@@ -582,13 +610,23 @@
     }
 
     fn stop(&mut self, now: Time) {
-        if !std::mem::replace(&mut self.stopping, true) {
-            eprintln!("badgergauge: stopping, {} open", self.core.open());
-            self.net.wheel.arm(now.after(LAST_LISTENING), Due::StopListening);
+        if self.stopping.is_some() {
+            return;
         }
+        eprintln!("badgergauge: stopping, {} open", self.core.open());
+        let classes = &self.settings.module.classes;
+        let longest = classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+        let aim = classes.iter().map(|class| class.aim).max().unwrap_or_default();
+        let whole = longest.min(LONGEST_STOP) + LAST_LISTENING;
+        // Where that leaves no time, each answer says from now on that its connection ends.
+        let serving = whole.saturating_sub(aim * LAST_AIMS);
+        let serves_until = if serving > LAST_LISTENING { now.after(serving) } else { now };
+        self.stopping = Some(Stop { serves_until, ends_by: now.after(whole) });
+        self.net.wheel.arm(now.after(LAST_LISTENING), Due::StopListening);
+        self.net.wheel.arm(now.after(serving.max(LAST_LISTENING)), Due::StopServing);
     }
 
-    /// Takes those that already wait in the listener's queue, then closes it and what is idle.
+    /// Takes those that already wait in the listener's queue, then closes it.
     fn stop_listening(&mut self, now: Time) {
         for key in [LISTEN, OGC_LISTEN] {
             while self.accept(now, key) {}
@@ -596,6 +634,11 @@
         for (_, listener) in self.listeners.drain(..) {
             self.net.poll.remove(&listener);
         }
+        eprintln!("badgergauge: stopping, {} clients left", self.clients.len());
+    }
+
+    /// Closes the connections that are idle; the others end with their answer.
+    fn stop_serving(&mut self, now: Time) {
         for key in self.clients.keys().copied().collect::<Vec<_>>() {
             // A request that has come meanwhile is taken; only what is idle after that is closed.
             self.client_ready(now, key);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -37,6 +37,8 @@
     Sweep,
     /// The end of listening after SIGTERM.
     StopListening,
+    /// The end of taking requests on the connections there are, after it.
+    StopServing,
 }
 
 /// What everything on the loop shares.
