A connection that falls silent while its server answers on others is ended

Checked: one connection to a server carries all its parts, and stays in use while it says nothing (backend.rs, `link_for`), so the decisions saw a server that hangs, refused what needed its shards, and parts waited for their time-outs. Ruled out: load (0.07 CPU seconds in the worst second) and the rate, as p50 was 8 ms.

Changed: a connection with parts out that is silent for an eighth of the shortest aim is in doubt and gets nothing while another will do; if the server answers on another what was written later, it ends after a quarter, and its parts have failed. An answer that was begun gets no longer than that either.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -14,6 +14,12 @@
 
 /// Longest frame that is read: a value has to fit into an answer to a client.
 const MAX_FRAME: usize = 64 * 1024;
+/// A connection that has parts out and says nothing for this part of the shortest aim is in doubt.
+const QUIET_PART: u32 = 8;
+/// One that stays silent for so many times that, while its server answers on another what came later, is dead.
+const DEAD_AFTER: u32 = 2;
+/// Connections to one server up to which a further one is made where all there are are in doubt.
+const DOUBTED: usize = 3;
 /// What a connection's buffer keeps between answers, which are short as a rule.
 const KEPT_BUFFER: usize = 4 * 1024;
 /// Connections to one server at the most; one is the rule.
@@ -36,6 +42,8 @@
     /// Whether it may be sent anything new.
     open: bool,
     links: Vec<usize>,
+    /// When the youngest part that it has answered was written.
+    answered: Time,
 }
 
 /// What a frame carries.
@@ -48,8 +56,8 @@
 /// A part that a connection answers for.
 struct Carried {
     attempt: AttemptId,
-    /// Its frame's last byte is written: from here on it may run.
-    written: bool,
+    /// When its frame's last byte was written: from here on it may run.
+    written: Option<Time>,
     /// When it was given up: nobody waits for it any more, but its answer may still come.
     abandoned: Option<Time>,
 }
@@ -72,6 +80,10 @@
     parts: HashMap<String, Carried>,
     probes: VecDeque<Time>,
     last_used: Time,
+    /// When anything last came.
+    heard: Time,
+    /// A part was given up on it after a long silence, which goes on.
+    doubted: bool,
     /// Whether the poller was asked for writability.
     asked_write: bool,
     /// The number of the step whose sends may still join the last frame.
@@ -85,6 +97,8 @@
 pub struct Backend {
     settings: Arc<SiteSettings>,
     most: usize,
+    /// A connection that has said nothing for so long, with parts out on it, is in doubt.
+    quiet: Duration,
     servers: HashMap<ServerId, Server>,
     links: HashMap<usize, Link>,
     /// Which connection answers for an attempt.
@@ -98,7 +112,9 @@
 impl Backend {
     /// No connections yet, and `most` of them at any time.
     pub fn new(settings: Arc<SiteSettings>, most: usize) -> Self {
+        let aim = settings.module.classes.iter().map(|c| c.aim).min().unwrap_or_default();
         Backend {
+            quiet: aim / QUIET_PART,
             settings,
             most,
             servers: HashMap::new(),
@@ -112,8 +128,9 @@
 
     /// A server may be sent to at this address; connections to an older one get nothing new.
     pub fn open(&mut self, server: ServerId, address: SocketAddr) {
-        let links = self.servers.remove(&server).map(|s| s.links).unwrap_or_default();
-        self.servers.insert(server, Server { address, open: true, links });
+        let (links, answered) =
+            self.servers.remove(&server).map(|s| (s.links, s.answered)).unwrap_or_default();
+        self.servers.insert(server, Server { address, open: true, links, answered });
     }
 
     /// A server may be sent nothing new: what is queued and not begun comes back unsent. A send counts
@@ -154,7 +171,7 @@
         };
         let Some(link) = self.links.get_mut(&key) else { return };
         let (attempt, step) = (send.attempt, self.step);
-        link.parts.insert(name.clone(), Carried { attempt, written: false, abandoned: None });
+        link.parts.insert(name.clone(), Carried { attempt, written: None, abandoned: None });
         self.attempts.insert(attempt, key);
         let batch = self.settings.module.batch as usize;
         match link.waiting.back_mut() {
@@ -194,6 +211,8 @@
             return;
         };
         part.abandoned = Some(now);
+        let since = part.written.unwrap_or(now).max(link.heard);
+        link.doubted |= now.since(since) >= self.quiet;
         link.waiting.push_back(Frame::Cancel(name.clone()));
         self.touched.push(key);
         finish(&mut self.attempts, &mut self.done, attempt, verdict);
@@ -241,7 +260,7 @@
         link.begun =
             if link.bytes.is_empty() { None } else { begun.filter(|_| frames.is_empty()).or(Some(now)) };
         if link.begun.is_some() && link.begun != begun {
-            net.wheel.arm(now.after(self.settings.connect_time_out), Due::Stalled(key));
+            net.wheel.arm(now.after(self.stall()), Due::Stalled(key));
         }
         // What came whole before the fault counts; behind it nothing can be told apart any more.
         for frame in &frames {
@@ -260,16 +279,40 @@
         true
     }
 
+    /// How long a frame that was begun may take to be whole.
+    fn stall(&self) -> Duration {
+        self.settings.connect_time_out.min(self.quiet * DEAD_AFTER)
+    }
+
     /// A frame that was begun should be whole by now: a server writes each at once, so one that stays
     /// unfinished has a length that does not fit, and would swallow all answers behind it.
     pub fn stalled(&mut self, net: &Net, now: Time, key: usize) {
-        let limit = now.before(self.settings.connect_time_out);
+        let limit = now.before(self.stall());
         if self.links.get(&key).and_then(|link| link.begun).is_some_and(|begun| begun <= limit) {
             eprintln!("badgergauge: an answer did not end: its connection ends");
             self.drop_link(net, key);
         }
     }
 
+    /// Ends connections that have fallen silent while their servers go on answering on others: what is out on
+    /// them will never be answered, and the servers are not to be blamed.
+    pub fn look(&mut self, net: &Net, now: Time) {
+        let dead = |(key, link): (&usize, &Link)| {
+            let since = link.silent_since()?;
+            let answered = self.servers.get(&link.server)?.answered;
+            (now.since(since) >= self.quiet * DEAD_AFTER && answered > since).then_some(*key)
+        };
+        for key in self.links.iter().filter_map(dead).collect::<Vec<_>>() {
+            eprintln!("badgergauge: a connection to a server that answers has fallen silent: it ends");
+            self.drop_link(net, key);
+        }
+    }
+
+    /// How often to [`Backend::look`].
+    pub fn look_pause(&self) -> Duration {
+        self.quiet / 2
+    }
+
     /// The time for a connection to come up is over.
     pub fn connect_time_out(&mut self, net: &Net, key: usize) {
         if self.links.get(&key).is_some_and(|link| !link.connected) {
@@ -315,9 +358,20 @@
                     && !self.is_stale(link, now)
             })
         };
-        if let Some(key) = server.links.iter().find(fits) {
+        let fit: Vec<usize> = server.links.iter().filter(fits).copied().collect();
+        let (doubted, sound): (Vec<usize>, Vec<usize>) = fit
+            .into_iter()
+            .partition(|key| self.links.get(key).is_some_and(|link| link.is_doubted(now, self.quiet)));
+        if let Some(key) = sound.first() {
             return Some(*key);
         }
+        // One that has fallen silent may be all that is wrong: another connection shows it.
+        if server.links.len() >= DOUBTED
+            && let Some(key) =
+                doubted.into_iter().max_by_key(|key| self.links.get(key).map(|link| link.heard))
+        {
+            return Some(key);
+        }
         if server.links.len() >= MOST_PER_SERVER {
             return None;
         }
@@ -345,6 +399,8 @@
             parts: HashMap::new(),
             probes: VecDeque::new(),
             last_used: now,
+            heard: now,
+            doubted: false,
             asked_write: true,
             step: 0,
             retired: false,
@@ -377,7 +433,8 @@
             link.parts.into_values().filter(|part| part.abandoned.is_none()).collect();
         parts.sort_by_key(|part| part.attempt);
         for part in parts {
-            let verdict = if part.written { Verdict::ConnectionLost } else { Verdict::NoConnection };
+            let verdict =
+                if part.written.is_some() { Verdict::ConnectionLost } else { Verdict::NoConnection };
             finish(&mut self.attempts, &mut self.done, part.attempt, verdict);
         }
         for _ in link.probes {
@@ -394,9 +451,12 @@
             Some((b'a', rest)) => {
                 let Some((name, verdict, value, load)) = read_answer(rest) else { return false };
                 // One that has not been written whole can't be answered.
-                let Some(part) = link.parts.get(name).filter(|part| part.written) else {
+                let Some((part, written)) = link.parts.get(name).and_then(|p| Some((p, p.written?))) else {
                     return name == link.answered;
                 };
+                if let Some(server) = self.servers.get_mut(&server) {
+                    server.answered = server.answered.max(written);
+                }
                 // One that was given up is disregarded: its attempt has had its outcome.
                 if part.abandoned.is_none() && self.attempts.remove(&part.attempt).is_some() {
                     self.done.push(Done::Attempt(part.attempt, verdict, value, load));
@@ -447,6 +507,17 @@
             && self.parts.values().all(|part| part.abandoned.is_some())
     }
 
+    /// Since when nothing has come, though parts are out that someone waits for.
+    fn silent_since(&self) -> Option<Time> {
+        let waited = self.parts.values().filter(|part| part.abandoned.is_none());
+        Some(waited.filter_map(|part| part.written).min()?.max(self.heard))
+    }
+
+    /// Whether it may have fallen silent for good.
+    fn is_doubted(&self, now: Time, quiet: Duration) -> bool {
+        self.doubted || self.silent_since().is_some_and(|since| now.since(since) >= quiet)
+    }
+
     /// Writes what the socket takes.
     fn write(&mut self, now: Time, settings: &SiteSettings) -> io::Result<()> {
         loop {
@@ -465,7 +536,7 @@
                 self.last_used = now;
                 if let Some(Frame::Query(parts)) = self.encoded.pop_front() {
                     for (name, _) in parts {
-                        self.parts.entry(name).and_modify(|part| part.written = true);
+                        self.parts.entry(name).and_modify(|part| part.written = Some(now));
                     }
                 }
             }
@@ -481,7 +552,7 @@
             match self.stream.read(&mut buffer) {
                 Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
                 Ok(read) => {
-                    self.last_used = now;
+                    (self.last_used, self.heard, self.doubted) = (now, now, false);
                     self.bytes.extend_from_slice(&buffer[..read]);
                     // The rest is reported again, once these frames are taken.
                     if self.bytes.len() > MAX_FRAME + buffer.len() {
@@ -712,8 +783,9 @@
     fn a_connection_with_swallowed_parts_is_left() {
         let mut bench = bench();
         let (first, second) = (bench.send(1), bench.send(2));
-        let written =
-            |bench: &Bench| bench.backend.links.values().all(|l| l.parts.values().all(|p| p.written));
+        let written = |bench: &Bench| {
+            bench.backend.links.values().all(|l| l.parts.values().all(|p| p.written.is_some()))
+        };
         while !written(&bench) {
             let mut ready = Vec::new();
             bench.net.poll.wait(None, &mut ready).expect("polls");
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -184,6 +184,7 @@
         let now = clock.now();
         net.wheel.arm(now, Due::Watch);
         net.wheel.arm(now.after(SWEEP), Due::Sweep);
+        net.wheel.arm(now, Due::Look);
         Ok(Broker {
             settings,
             net,
@@ -279,6 +280,10 @@
             Due::Stalled(key) => self.backend.stalled(&self.net, now, key),
             Due::Watch if now < self.watch_at => {}
             Due::Watch => self.tend_watch(now),
+            Due::Look => {
+                self.net.wheel.arm(now.after(self.backend.look_pause()), Due::Look);
+                self.backend.look(&self.net, now);
+            }
             Due::Sweep => self.sweep(now),
             Due::StopListening => self.stop_listening(now),
             Due::StopServing => self.stop_serving(now),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -33,6 +33,8 @@
     Stalled(usize),
     /// Discovery's silence, or the wait before the next watch.
     Watch,
+    /// A look for connections to servers that have fallen silent.
+    Look,
     /// A look over connections that stand idle.
     Sweep,
     /// The end of listening after SIGTERM.
