Parts leave doubtful servers that answer nothing; a lost connection counts once

At fault, in decide.rs: without second copies nothing ever took a part back from a silent server; `learn` counted `ConnectionLost` by part.

Changed: after half an aim a part leaves a server that has answered nothing since it was sent, if that server is in doubt (1.2 tries) and another has twice the time. All that is lost in one step tells of a server once.

Both tests fail without their change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,6 +33,11 @@
 const CHECK_SPREADS: f64 = 0.6;
 /// An attempt is overdue after so many spreads above the fit: few sound ones are.
 const OVERDUE_SPREADS: f64 = 2.5;
+/// An attempt is left after this share of the aim if its server has answered nothing since it was sent ...
+const SILENT_SHARE: f64 = 0.5;
+/// ... and lately took so many tries, and another would take this share of the time left at the most.
+const SILENT_TRIES: f64 = 1.2;
+const SILENT_SPARE: f64 = 0.5;
 /// Own calls out at the home replica up to which it is kept: one in work, as servers work on several.
 const HOME_CALLS: usize = 1;
 /// The home replica is left too when its prediction is so many times the best one.
@@ -131,6 +136,10 @@
     bad: f64,
     good: f64,
     last_sent: Time,
+    /// When a connection to it was last lost.
+    lost: Time,
+    /// When it last answered anything.
+    heard: Time,
     /// When its connections last carried an attempt that was answered, or a send.
     last_used: Time,
     /// Work sent while cold, in seconds.
@@ -502,6 +511,9 @@
         let Some(server) = self.servers.get_mut(&attempt.server) else { return };
         let silent = matches!(verdict, Verdict::Cancelled | Verdict::NoAnswer) && attempt.overdue;
         server.last_used = if silent { Time(0) } else { self.now };
+        if matches!(verdict, Verdict::Served | Verdict::Error | Verdict::TurnedAway) {
+            server.heard = self.now;
+        }
         let (won, lost) = &mut self.copies;
         *if verdict == Verdict::Served { won } else { lost } += f64::from(u8::from(attempt.copy));
         if let Some(fresh) = attempt.fresh {
@@ -534,6 +546,12 @@
                 server.bad += 1.0;
             }
             Verdict::Cancelled | Verdict::NoAnswer | Verdict::NotSent => {}
+            // All parts on a connection are lost with it: that tells of its server once.
+            Verdict::ConnectionLost if server.lost == self.now => {}
+            Verdict::ConnectionLost => {
+                server.lost = self.now;
+                server.bad += 1.0;
+            }
             _ => server.bad += 1.0,
         }
     }
@@ -749,6 +767,7 @@
             return Fate::Open;
         }
         (query.need, query.floor) = (need, floor);
+        self.leave_silent(query, left - reserve, actions);
         let (reachable, pending) = self.send_parts(query, left - reserve, actions);
         if reachable < floor - EPSILON || !pending {
             return ending;
@@ -804,6 +823,32 @@
         (reachable, pending)
     }
 
+    /// Gives up overdue attempts at doubtful servers that have answered nothing since, if another has time to
+    /// spare for the part. Guards against servers and connections that swallow work: one that is merely busy
+    /// answers what came before. Costs the work of a server that stood still for so long, and under overload
+    /// adds to it: hence the doubt and the time to spare.
+    fn leave_silent(&mut self, query: &QueryState, allowed: f64, actions: &mut Vec<Action>) {
+        let long = self.settings.classes[query.class].aim.mul_f64(SILENT_SHARE);
+        let most = self.settings.max_attempts;
+        for part in query.parts.iter().filter(|p| !p.served && p.attempts < most) {
+            let [number] = part.live[..] else { continue };
+            let Some(attempt) = self.attempts.get(&(part.id, number)) else { continue };
+            let silent =
+                |s: &Server| s.heard > Time(0) && s.heard < attempt.sent && s.tries() >= SILENT_TRIES;
+            let heard = !self.servers.get(&attempt.server).is_some_and(silent);
+            let early = !attempt.overdue || self.now.since(attempt.sent) < long;
+            if heard || early || attempt.left || !self.settings.cancel || !self.may_repeat(query, part) {
+                continue;
+            }
+            if self.choose(query, part, allowed * SILENT_SPARE).is_some_and(|c| !c.tried)
+                && let Some(attempt) = self.attempts.get_mut(&(part.id, number))
+            {
+                attempt.left = true;
+                actions.push(Action::Cancel { part: part.id, attempt: number });
+            }
+        }
+    }
+
     /// Sends second copies of parts whose attempts are overdue, once little time is left for another.
     fn send_copies(&mut self, query: &mut QueryState, allowed: f64, actions: &mut Vec<Action>) {
         // Where both replicas are short of time a copy is one more load: as long as few earn, none goes out.
--- a/tests/incidents.rs
+++ b/tests/incidents.rs
@@ -438,3 +438,72 @@
     let (_, actions) = bench.query(0, &[0]);
     assert_eq!(sends(&actions).len(), 1, "{actions:?}");
 }
+
+/// All parts on a connection are lost with it. Counted one by one, a single reset on a busy connection drove
+/// the server's whole traffic onto the other replica.
+#[test]
+fn a_lost_connection_counts_once_however_many_parts_it_carried() {
+    let settings = Settings { second_copies: false, budget: None, ..settings() };
+    let mut bench = Bench::new(settings, vec![up(1)]);
+    let serve = |bench: &mut Bench, shards: &[u32], attempt| {
+        let (id, actions) = bench.query(0, shards);
+        assert_eq!(sends(&actions).len(), shards.len(), "{actions:?}");
+        bench.now = bench.now.after(ms(50));
+        let parts = (1..=shards.len() as u64).map(|part| id + part);
+        if attempt > 0 {
+            let lost: Vec<Event> =
+                parts.clone().map(|p| outcome(p, 0, Verdict::ConnectionLost, ms(50))).collect();
+            bench.step(&lost);
+        }
+        let served: Vec<Event> = parts.map(|p| outcome(p, attempt, Verdict::Served, ms(50))).collect();
+        bench.step(&served);
+    };
+    for _ in 0..10 {
+        serve(&mut bench, &[0], 0);
+    }
+    serve(&mut bench, &[0, 1, 2, 3], 1);
+    serve(&mut bench, &[0, 1, 2, 3], 1);
+    bench.step(&[Event::ServersChanged(vec![up(2)])]);
+    let mut to_first = 0;
+    for _ in 0..20 {
+        let (id, actions) = bench.query(0, &[0]);
+        to_first += sends(&actions).iter().filter(|(_, server)| *server == 1).count();
+        bench.now = bench.now.after(ms(50));
+        bench.step(&[outcome(id + 1, 0, Verdict::Served, ms(50))]);
+    }
+    assert!(to_first > 0, "it is some shards' home and stays so");
+}
+
+/// Servers swallowed parts, which waited there for their clients' end while another replica stood idle. One
+/// that goes on answering is only busy, and is not left.
+#[test]
+fn a_part_leaves_a_doubtful_server_that_answers_nothing() {
+    for answers in [false, true] {
+        let class = Class { late_share: 0.3, ..class() };
+        let settings = Settings { classes: vec![class], second_copies: false, budget: None, ..settings() };
+        let mut bench = Bench::new(settings, vec![up(1)]);
+        for verdict in [Verdict::Served, Verdict::Served, Verdict::Error, Verdict::Error] {
+            let (id, _) = bench.query(0, &[0]);
+            bench.now = bench.now.after(ms(50));
+            bench.step(&[outcome(id + 1, 0, verdict, ms(50))]);
+            bench.step(&[outcome(id + 1, 1, Verdict::Served, ms(50))]);
+        }
+        let (other, _) = bench.query(0, &[1]);
+        bench.now = bench.now.after(ms(5));
+        let (id, actions) = bench.query(0, &[0]);
+        assert_eq!(sends(&actions), [(id + 1, 1)]);
+        bench.step(&[Event::ServersChanged(vec![up(2)])]);
+        bench.now = bench.now.after(ms(400));
+        let cancel = Action::Cancel { part: PartId(id + 1), attempt: 0 };
+        assert!(!bench.step(&[]).contains(&cancel), "too early");
+        if answers {
+            bench.step(&[outcome(other + 1, 0, Verdict::Served, ms(405))]);
+        }
+        bench.now = bench.now.after(ms(150));
+        assert_eq!(bench.step(&[]).contains(&cancel), !answers);
+        if !answers {
+            let actions = bench.end(id + 1, 0, Verdict::Cancelled, ms(550));
+            assert!(sends(&actions).contains(&(id + 1, 2)), "{actions:?}");
+        }
+    }
+}
