--- a/src/core.rs
+++ b/src/core.rs
@@ -330,6 +330,9 @@
         } else {
             self.events.push(Event::ServersChanged(lines));
         }
+        // Names that are gone do not come back: kept, they would add up over a long day.
+        self.ids.retain(|_, id| self.listed.contains_key(id));
+        self.servers.retain(|id, _| self.listed.contains_key(id));
         stopped
     }
 
@@ -450,3 +453,29 @@
         Some(open)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Guards the memory of a long day, on which servers are replaced by others under new names: what is kept
+    // by a server's name goes with it, whether it is said to be gone or left out of a whole list.
+    #[test]
+    fn servers_that_are_gone_are_forgotten() {
+        let config = include_str!("../tests/exchanges/config.json");
+        let config: serde_json::Value = serde_json::from_str(config).expect("JSON");
+        let settings = SiteSettings::read(&config["settings"]).expect("sound");
+        let mut core = Core::new(Arc::new(settings), 1).expect("sound");
+        let member =
+            |name: &str, state| Member { name: name.into(), zone: "z".into(), cell: 0, state, started: None };
+        for number in 0..100 {
+            let (old, new) = (format!("s-{number}"), format!("s-{}", number + 1));
+            core.take_list(number % 10 == 0, &[member(&new, ServerState::Up)]);
+            core.take_list(false, &[member(&old, ServerState::Removed)]);
+        }
+        assert_eq!((core.ids.len(), core.servers.len(), core.listed()), (1, 1, (1, 0)));
+        let id = core.server_id("s-100");
+        core.take_list(true, &[member("s-100", ServerState::Up)]);
+        assert_eq!(core.server_id("s-100"), id);
+    }
+}
