--- a/src/backend.rs
+++ b/src/backend.rs
@@ -15,9 +15,9 @@
 /// Longest frame that is read: a value has to fit into an answer to a client.
 const MAX_FRAME: usize = 64 * 1024;
 /// A connection that has parts out and says nothing for this part of the shortest aim is in doubt.
-const QUIET_PART: u32 = 8;
+const QUIET_PART: u32 = 6;
 /// One that stays silent for so many times that, while its server answers on another what came later, is dead.
-const DEAD_AFTER: u32 = 2;
+const DEAD_AFTER: u32 = 3;
 /// Connections to one server up to which a further one is made where all there are are in doubt.
 const DOUBTED: usize = 3;
 /// What a connection's buffer keeps between answers, which are short as a rule.
@@ -281,7 +281,7 @@
 
     /// How long a frame that was begun may take to be whole.
     fn stall(&self) -> Duration {
-        self.settings.connect_time_out.min(self.quiet * DEAD_AFTER)
+        self.settings.connect_time_out.min(self.quiet * 2)
     }
 
     /// A frame that was begun should be whole by now: a server writes each at once, so one that stays
@@ -300,7 +300,8 @@
         let dead = |(key, link): (&usize, &Link)| {
             let since = link.silent_since()?;
             let answered = self.servers.get(&link.server)?.answered;
-            (now.since(since) >= self.quiet * DEAD_AFTER && answered > since).then_some(*key)
+            (now.since(since) >= self.quiet * DEAD_AFTER && answered > since.after(self.quiet))
+                .then_some(*key)
         };
         for key in self.links.iter().filter_map(dead).collect::<Vec<_>>() {
             eprintln!("badgergauge: a connection to a server that answers has fallen silent: it ends");
