Weights have to add up to 1 within a thousandth

Seen: platform.rs let sums off by 0.05 through (`WEIGHT_SLACK`), so a query whose weights do not add up could reach a tile server. The exchange `malformed` asks with 0.97 in all and wants a 400; at 0.05 that sum was let through.

--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -11,7 +11,7 @@
 use crate::net::http::{Request, Response};
 
 /// Sums of weights may be off from one by so much.
-const WEIGHT_SLACK: f64 = 0.05;
+const WEIGHT_SLACK: f64 = 0.001;
 /// Longest request id or idempotency key.
 const MAX_WORD: usize = 128;
 
