--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run demo
 
 build:
 	cargo build --release --locked
@@ -6,12 +6,15 @@
 # The list of recorded exchanges is read when their test is compiled.
 test:
 	touch tests/exchanges.rs
-	cargo test --locked
+	cargo test --locked --workspace
 
 lint:
 	cargo fmt --all --check
-	cargo clippy --locked --all-targets -- -D warnings
-	RUSTDOCFLAGS="-D warnings" cargo doc --locked --no-deps --lib
+	cargo clippy --locked --workspace --all-targets -- -D warnings
+	RUSTDOCFLAGS="-D warnings" cargo doc --locked --workspace --no-deps --lib
 
 run: build
 	exec target/release/badgergauge
+
+demo:
+	cargo run --release --locked -- demo
--- a/src/core.rs
+++ b/crates/core/src/core.rs
@@ -7,9 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::config::settings::SiteSettings;
 use crate::decide::Router;
 use crate::interface::*;
+use crate::settings::SiteSettings;
 
 /// Whom a query's final answer goes to: a number of the front's own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -405,22 +405,22 @@
 
     fn carry_out(&mut self, now: Time, action: Action) -> Option<Command> {
         Some(match action {
-            Action::Send { part, server, time_out } => return self.send(now, part, server, time_out),
-            Action::Cancel { part, attempt } => {
+            Action::Send { part, server, time_out, .. } => return self.send(now, part, server, time_out),
+            Action::Cancel { part, attempt, .. } => {
                 self.attempts.get(&(part, attempt))?;
                 Command::Cancel((part, attempt))
             }
             Action::CloseIdle { server } => Command::CloseIdle(server),
             Action::Probe { server } => Command::Probe(server),
-            Action::Answer { query, whole } => {
+            Action::Answer { query, whole, .. } => {
                 let open = self.close(query)?;
                 let values = open.parts.into_iter().map(|part| (part.shard, part.value)).collect();
                 Command::Finish(open.ticket, Final::Answered { whole, values })
             }
-            Action::Refuse { query, hold_off } => {
+            Action::Refuse { query, hold_off, .. } => {
                 Command::Finish(self.close(query)?.ticket, Final::Refused { hold_off })
             }
-            Action::Fail { query } => Command::Finish(self.close(query)?.ticket, Final::Failed),
+            Action::Fail { query, .. } => Command::Finish(self.close(query)?.ticket, Final::Failed),
             Action::SetTimer { timer, at } => Command::Arm(at, timer),
             Action::WatchServers => Command::WatchServers,
         })
@@ -462,7 +462,7 @@
     // by a server's name goes with it, whether it is said to be gone or left out of a whole list.
     #[test]
     fn servers_that_are_gone_are_forgotten() {
-        let config = include_str!("../tests/exchanges/config.json");
+        let config = include_str!("../../../tests/exchanges/config.json");
         let config: serde_json::Value = serde_json::from_str(config).expect("JSON");
         let settings = SiteSettings::read(&config["settings"]).expect("sound");
         let mut core = Core::new(Arc::new(settings), 1).expect("sound");
--- a/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -1,4 +1,4 @@
-//! Every decision of the router, in the order in which a query travels; why so: `docs/design.md`.
+//! Every decision of the router, in the order in which a query travels; why so: `docs/design/decisions.md`.
 //! A query is taken in with its parts; each part's time is predicted at each replica by a linear fit; a
 //! part goes to the first replica, home first, that can finish before the aim, and else stays unsent;
 //! the query is answered from the parts that came. What follows that path guards it against failures.
@@ -186,6 +186,9 @@
     live: Vec<u32>,
     served: bool,
     tried: Vec<ServerId>,
+    /// Whether it was taken back from a silent server, and why it is not out.
+    silent: bool,
+    missing: Missing,
     /// When the first attempt that may have run was sent.
     may_have_run: Option<Time>,
 }
@@ -224,8 +227,8 @@
 
 enum Fate {
     Open,
-    Answer { whole: bool },
-    GiveUp,
+    Answer { whole: bool, cause: Cause },
+    GiveUp(Cause),
 }
 
 /// A replica that may take a part.
@@ -238,6 +241,8 @@
     score: f64,
     home: (bool, u64),
     calls: usize,
+    doubt: f64,
+    why: Option<Choice>,
 }
 
 /// Decides for one front node. See the crate's page for how to drive it.
@@ -441,6 +446,7 @@
         let Some(part) = parts.into_iter().flatten().find(|p| p.id == id) else { return };
         part.live.retain(|&n| n != number);
         part.served |= verdict == Verdict::Served;
+        part.silent |= attempt.left;
         if !verdict.never_ran() {
             part.may_have_run = part.may_have_run.into_iter().chain([attempt.sent]).min();
         }
@@ -457,7 +463,7 @@
         query.asking = Some(self.now);
         let fresh = self.now.before(Duration::from_secs_f64(self.mean_aim * PROBE_SHARE));
         for index in 0..query.parts.len() {
-            let Some(c) = self.choose(query, &query.parts[index], f64::INFINITY) else { continue };
+            let Ok(c) = self.choose(query, &query.parts[index], f64::INFINITY) else { continue };
             let Some(server) = self.servers.get_mut(&c.server) else { continue };
             if c.upper > allowed * PROBE_SHARE && server.probed < fresh {
                 server.probed = self.now;
@@ -651,7 +657,7 @@
     }
 
     /// The replica for a part: home first, else the least busy, if it can finish within `allowed` units.
-    fn choose(&mut self, query: &QueryState, part: &PartState, allowed: f64) -> Option<Candidate> {
+    fn choose(&mut self, query: &QueryState, part: &PartState, allowed: f64) -> Result<Candidate, Missing> {
         let holders = self.holders(part.shard);
         holders.iter().for_each(|id| self.refresh(*id));
         let settings = &self.settings;
@@ -659,12 +665,24 @@
         let busy: Vec<ServerId> = part.live.iter().filter_map(out).collect();
         let call_cost = settings.call_cost.as_secs_f64() / self.unit;
         let mut candidates: Vec<Candidate> = Vec::new();
+        let mut closed: Option<((bool, u64), ServerId, Left)> = None;
         for id in holders {
             let Some(server) = self.servers.get(&id) else { continue };
             let (calls, overdue) = self.out.get(&id).map_or((0, 0.0), |out| (out.calls.len(), out.overdue));
             let planned = self.planned.get(&id).copied().unwrap_or((0, 0.0));
-            let open = server.listed.state == ServerState::Up && !busy.contains(&id);
-            if !open || !self.cold_room(server, part.id, query.class, planned.1) {
+            let crosses = settings.cross_zone_price > 0.0 && server.listed.zone != settings.zone;
+            // Where calls are shared, the query alone picks the home among a shard's holders, so that
+            // neighbouring shards meet at one server.
+            let shard = if settings.batch > 1 && call_cost > 0.0 { 0 } else { u64::from(part.shard.0) };
+            let home = (!crosses, mix(query.hash ^ mix(shard ^ mix(id.0 ^ 0x5eed))));
+            let shut = match server.listed.state {
+                ServerState::Up if busy.contains(&id) => Some(Left::Tried),
+                ServerState::Up if self.cold_room(server, part.id, query.class, planned.1) => None,
+                ServerState::Up => Some(Left::Cold),
+                _ => Some(Left::Draining),
+            };
+            if let Some(left) = shut {
+                closed = closed.max(Some((home, id, left)));
                 continue;
             }
             let x = self.features(server, id, query.class);
@@ -680,38 +698,48 @@
             let excess = predicted * tries * (1.0 + CHECK_SPREADS * server.fit.spread) - start;
             let upper = start + excess.min(0.0) + excess.max(0.0) * 0.5_f64.powf(rest);
             let shared = planned.0 % settings.batch != 0;
-            let crosses = settings.cross_zone_price > 0.0 && server.listed.zone != settings.zone;
             let crossing = f64::from(u8::from(crosses)) * CROSSING_WEIGHT * settings.cross_zone_price;
             let saved = if shared { SHARING_WEIGHT * call_cost } else { 0.0 };
-            // Where calls are shared, the query alone picks the home among a shard's holders, so that
-            // neighbouring shards meet at one server.
-            let shard = if settings.batch > 1 && call_cost > 0.0 { 0 } else { u64::from(part.shard.0) };
-            let hash = mix(query.hash ^ mix(shard ^ mix(id.0 ^ 0x5eed)));
             candidates.push(Candidate {
                 server: id,
                 upper,
                 tried: part.tried.contains(&id),
                 score: predicted * (1.0 + crossing) * server.tries().powi(2) - saved,
-                home: (!crosses, hash),
+                home,
                 calls: calls + usize::from(planned.0 > 0 && !shared),
+                doubt: server.tries().powi(2),
+                why: None,
             });
         }
         candidates.sort_by(|a, b| a.tried.cmp(&b.tried).then(a.score.total_cmp(&b.score)));
-        let best = candidates.first()?.score;
-        let home = candidates.iter().enumerate().max_by_key(|(_, c)| c.home).map(|(index, _)| index)?;
+        let best = candidates.first().ok_or(Missing::Closed)?.score;
+        let home = candidates.iter().enumerate().max_by_key(|(_, c)| c.home).map_or(0, |(index, _)| index);
         let c = &candidates[home];
-        if !c.tried && c.calls <= HOME_CALLS && c.score <= HOME_RATIO * best {
+        let left = match c.score <= HOME_RATIO * best {
+            _ if c.tried => Some(if part.silent { Left::Silent } else { Left::Tried }),
+            _ if c.calls > HOME_CALLS => Some(Left::Busy),
+            true => None,
+            false if c.score <= HOME_RATIO * best * c.doubt => Some(Left::Doubtful),
+            false => Some(Left::Slow),
+        };
+        let own = (c.server, left.unwrap_or(Left::Late));
+        let (first, left_for) = closed.filter(|shut| shut.0 > c.home).map_or(own, |(_, id, why)| (id, why));
+        if left.is_none() {
             candidates[..=home].rotate_right(1);
         }
-        candidates.into_iter().find(|c| c.upper <= allowed)
+        let mut c = candidates.into_iter().find(|c| c.upper <= allowed).ok_or(Missing::Late)?;
+        let (predicted, allowed) = ((c.upper * self.unit) as f32, (allowed * self.unit) as f32);
+        let left = (c.server != first).then_some(left_for);
+        c.why = Some(Choice { home: first, left, predicted, allowed });
+        Ok(c)
     }
 
     fn advance(&mut self, number: QueryNumber, actions: &mut Vec<Action>) {
         let Some(mut query) = self.queries.remove(&number) else { return };
         match self.judge(&mut query, actions) {
             Fate::Open => drop(self.queries.insert(number, query)),
-            Fate::Answer { whole } => {
-                actions.push(Action::Answer { query: query.id, whole });
+            Fate::Answer { whole, cause } => {
+                actions.push(Action::Answer { query: query.id, whole, why: query.ending(cause) });
                 self.cancel_all(&mut query, actions);
                 if self.settings.classes[query.class].follow_up > 0 && !query.second_step {
                     query.second_step = true;
@@ -720,7 +748,8 @@
                     self.queries.insert(number, query);
                 }
             }
-            Fate::GiveUp => {
+            Fate::GiveUp(cause) => {
+                let why = query.ending(cause);
                 let class = &self.settings.classes[query.class];
                 let ran = |p: &PartState| p.may_have_run.is_some() || !p.live.is_empty();
                 if class.effect == Effect::Safe || !query.parts.iter().any(ran) {
@@ -729,9 +758,9 @@
                     let over = self.now.after(self.margin) >= query.aim_at && class.late_share == 0.0;
                     let stay = if over { class.deadline } else { class.aim.mul_f64(HOLD_OFF_SHARE) };
                     let (query, hold_off) = (query.id, stay.min(self.settings.max_hold_off));
-                    actions.push(Action::Refuse { query, hold_off });
+                    actions.push(Action::Refuse { query, hold_off, why });
                 } else {
-                    actions.push(Action::Fail { query: query.id });
+                    actions.push(Action::Fail { query: query.id, why });
                 }
                 self.cancel_all(&mut query, actions);
             }
@@ -745,7 +774,7 @@
         let floor = if class.floor < class.need { class.floor } else { need };
         let held: f64 = query.parts.iter().filter(|p| p.served).map(|p| p.weight).sum();
         if held >= need - EPSILON && !query.parts.is_empty() {
-            return Fate::Answer { whole: !query.first_partial };
+            return Fate::Answer { whole: !query.first_partial, cause: Cause::Whole };
         }
         let ends_at = query.ends_at.before(self.margin);
         let aim_at = query.aim_at.before(self.margin).min(ends_at);
@@ -758,10 +787,10 @@
         let alone = Features::new(1.0, self.classes[query.class].cost, 0.0, 0.0);
         let idle = self.pool.weights.dot(&alone).max(LEAST_TIME);
         let reserve = if first_of_two { idle * (1.0 + OVERDUE_SPREADS * START_SPREAD) } else { 0.0 };
-        let ending = if partial { Fate::Answer { whole: false } } else { Fate::GiveUp };
+        let end = |cause| if partial { Fate::Answer { whole: false, cause } } else { Fate::GiveUp(cause) };
         let left = target.since(self.now).as_secs_f64() / self.unit;
         if left <= 0.0 || (partial && left <= reserve) {
-            return ending;
+            return end(Cause::TimeUp);
         }
         if query.parts.is_empty() || self.ask_around(query, left - reserve, actions) {
             return Fate::Open;
@@ -770,7 +799,7 @@
         self.leave_silent(query, left - reserve, actions);
         let (reachable, pending) = self.send_parts(query, left - reserve, actions);
         if reachable < floor - EPSILON || !pending {
-            return ending;
+            return end(if reachable < floor - EPSILON { Cause::TooLittle } else { Cause::NothingOut });
         }
         self.send_copies(query, left - reserve, actions);
         Fate::Open
@@ -781,13 +810,17 @@
     fn send_parts(&mut self, query: &mut QueryState, allowed: f64, actions: &mut Vec<Action>) -> (f64, bool) {
         let (mut held, mut out) = (0.0, 0.0);
         let mut waiting: Vec<usize> = Vec::new();
-        for (index, part) in query.parts.iter().enumerate() {
+        for index in 0..query.parts.len() {
+            let part = &query.parts[index];
             if part.served {
                 held += part.weight;
             } else if !part.live.is_empty() {
                 out += part.weight;
             } else if part.attempts < self.settings.max_attempts && self.may_repeat(query, part) {
                 waiting.push(index);
+            } else {
+                let spent = part.attempts >= self.settings.max_attempts;
+                query.parts[index].missing = if spent { Missing::Spent } else { Missing::Risk };
             }
         }
         waiting.sort_by(|&a, &b| query.parts[b].weight.total_cmp(&query.parts[a].weight));
@@ -799,13 +832,16 @@
         for index in waiting {
             let again = usize::from(query.parts[index].attempts > 0);
             if again > further {
+                query.parts[index].missing = Missing::Budget;
                 continue;
             }
             let patience = self.patience(query, index, reachable);
             // What earns under the mean must leave queues short enough for the class with the shortest aim.
             let far = patience < 1.0 && allowed > self.shortest * (1.0 + START_SPREAD);
             let allowed = if far { self.shortest } else { allowed } * patience;
-            if let Some(choice) = self.choose(query, &query.parts[index], allowed) {
+            let choice = self.choose(query, &query.parts[index], allowed);
+            query.parts[index].missing = choice.as_ref().err().copied().unwrap_or(Missing::Held);
+            if let Ok(choice) = choice {
                 reachable += query.parts[index].weight;
                 self.plan(choice.server, query.class);
                 further -= again;
@@ -818,7 +854,7 @@
         }
         let pending = out > 0.0 || !plan.is_empty();
         for (index, choice) in plan {
-            self.send(query, index, choice.server, actions);
+            self.send(query, index, &choice, actions);
         }
         (reachable, pending)
     }
@@ -840,11 +876,11 @@
             if heard || early || attempt.left || !self.settings.cancel || !self.may_repeat(query, part) {
                 continue;
             }
-            if self.choose(query, part, allowed * SILENT_SPARE).is_some_and(|c| !c.tried)
+            if self.choose(query, part, allowed * SILENT_SPARE).is_ok_and(|c| !c.tried)
                 && let Some(attempt) = self.attempts.get_mut(&(part.id, number))
             {
                 attempt.left = true;
-                actions.push(Action::Cancel { part: part.id, attempt: number });
+                actions.push(Action::Cancel { part: part.id, attempt: number, why: Withdrawn::Silent });
             }
         }
     }
@@ -861,9 +897,9 @@
             if part.served || !overdue || part.attempts >= most || !self.may_repeat(query, part) {
                 continue;
             }
-            let choice = self.choose(query, part, allowed).filter(|c| allowed <= COPY_TRIES * c.upper);
+            let choice = self.choose(query, part, allowed).ok().filter(|c| allowed <= COPY_TRIES * c.upper);
             if let Some(choice) = choice.filter(|_| self.further_left() > 0) {
-                self.send(query, index, choice.server, actions);
+                self.send(query, index, &choice, actions);
             }
         }
     }
@@ -913,7 +949,8 @@
         planned.1 += self.classes[class].cost;
     }
 
-    fn send(&mut self, query: &mut QueryState, index: usize, id: ServerId, actions: &mut Vec<Action>) {
+    fn send(&mut self, query: &mut QueryState, index: usize, to: &Candidate, actions: &mut Vec<Action>) {
+        let (id, Some(why)) = (to.server, to.why) else { return };
         let Some(server) = self.servers.get(&id) else { return };
         let (x, warmth) = (self.features(server, id, query.class), self.warmth(server));
         let before = self.planned.get(&id).map_or(0.0, |p| p.1);
@@ -960,7 +997,7 @@
         let late = self.settings.classes[query.class].late_share > 0.0;
         let until = if late { query.ends_at } else { query.aim_at.min(query.ends_at) };
         let time_out = until.since(now).max(self.settings.tick);
-        actions.push(Action::Send { part: part.id, server: id, time_out });
+        actions.push(Action::Send { part: part.id, server: id, time_out, why });
     }
 
     fn cancel_all(&mut self, query: &mut QueryState, actions: &mut Vec<Action>) {
@@ -970,7 +1007,7 @@
                     attempt.left = true;
                 }
                 if self.settings.cancel {
-                    actions.push(Action::Cancel { part: part.id, attempt: number });
+                    actions.push(Action::Cancel { part: part.id, attempt: number, why: Withdrawn::Over });
                 }
             }
         }
@@ -992,6 +1029,13 @@
     }
 }
 
+impl QueryState {
+    fn ending(&self, cause: Cause) -> Ending {
+        let why = |p: &PartState| if p.live.is_empty() { p.missing } else { Missing::Out };
+        Ending { cause, missing: self.parts.iter().filter(|p| !p.served).map(|p| (p.id, why(p))).collect() }
+    }
+}
+
 impl Server {
     fn take_report(&mut self, load: &LoadReport) {
         let reported = load.waiting.or(load.held).or(load.utilisation);
--- a/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -208,6 +208,11 @@
     ///
     /// Names the first field that cannot be.
     pub fn validate(&self) -> Result<(), SettingsError> {
+        self.faults().into_iter().next().map_or(Ok(()), Err)
+    }
+
+    /// Every field that cannot be true.
+    pub fn faults(&self) -> Vec<SettingsError> {
         let finite = |x: f64| x.is_finite() && x >= 0.0;
         let fraction = |x: f64| (0.0..=1.0).contains(&x);
         let checks = [
@@ -245,10 +250,8 @@
             ("cold.from", fraction(self.cold.from), "must be in 0..=1"),
             ("cold.fall_multiple", finite(self.cold.fall_multiple), "must be a finite amount"),
         ];
-        match checks.into_iter().find(|(_, holds, _)| !holds) {
-            Some((field, _, fault)) => Err(SettingsError { field, fault }),
-            None => Ok(()),
-        }
+        let faulty = checks.into_iter().filter(|(_, holds, _)| !holds);
+        faulty.map(|(field, _, fault)| SettingsError { field, fault }).collect()
     }
 }
 
@@ -382,6 +385,93 @@
     ServersFailed,
 }
 
+/// Why a part's home replica was left for another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Left {
+    /// Enough own calls are out there.
+    Busy,
+    /// Another is predicted to be so much faster.
+    Slow,
+    /// Its prediction is over what is left.
+    Late,
+    /// It failed, hung or was lost lately.
+    Doubtful,
+    /// It drains.
+    Draining,
+    /// It has just started, and has been sent what it may take.
+    Cold,
+    /// The part was there before, or is.
+    Tried,
+    /// The part was there before and taken back, as nothing was heard.
+    Silent,
+}
+
+/// Why a part is sent where it is. It tells what was decided and changes nothing.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// The replica that the hash gives, among all that are listed.
+    pub home: ServerId,
+    /// Why that was left; none where the part goes there.
+    pub left: Option<Left>,
+    /// Upper estimate of the part's time at the replica chosen, in seconds.
+    pub predicted: f32,
+    /// What it was allowed at that moment, in seconds.
+    pub allowed: f32,
+}
+
+/// Why an attempt is cancelled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Withdrawn {
+    /// Its query has ended.
+    Over,
+    /// Its server has answered nothing since it was sent, and another may.
+    Silent,
+}
+
+/// Why a part is not in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Missing {
+    /// Nothing was decided on it.
+    #[default]
+    Unasked,
+    /// An attempt is out.
+    Out,
+    /// No replica was predicted to serve it in what was left.
+    Late,
+    /// No replica is listed, up, and may be sent anything.
+    Closed,
+    /// Its attempts are spent.
+    Spent,
+    /// It may have run, and must not be sent again.
+    Risk,
+    /// The budget of further attempts is spent.
+    Budget,
+    /// It could have been sent, but too few others could.
+    Held,
+}
+
+/// What made a query end when it did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// All that a whole answer needs is in.
+    Whole,
+    /// Its time is up: the aim's, or its client's.
+    TimeUp,
+    /// What can still come in is less than any answer may rest on.
+    TooLittle,
+    /// Nothing is out, and nothing more will be sent.
+    NothingOut,
+}
+
+/// Why a query ends as it does.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ending {
+    /// What made it end.
+    pub cause: Cause,
+    /// The parts that are not in, and why.
+    pub missing: Vec<(PartId, Missing)>,
+}
+
 /// What the caller is to do, in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -393,6 +483,8 @@
         server: ServerId,
         /// When the attempt is given up.
         time_out: Duration,
+        /// Why there.
+        why: Choice,
     },
     /// Close the idle connections to a server; what is out on others goes on.
     CloseIdle {
@@ -410,6 +502,8 @@
         part: PartId,
         /// Number of the attempt.
         attempt: u32,
+        /// Why.
+        why: Withdrawn,
     },
     /// Answer a query from the parts that are in. A second step may follow.
     Answer {
@@ -417,6 +511,8 @@
         query: QueryId,
         /// Whether the answer is marked whole.
         whole: bool,
+        /// Why now.
+        why: Ending,
     },
     /// Refuse a query: its client may safely come back.
     Refuse {
@@ -424,11 +520,15 @@
         query: QueryId,
         /// How long the client should stay away.
         hold_off: Duration,
+        /// Why.
+        why: Ending,
     },
     /// Fail a query, promising nothing.
     Fail {
         /// The query.
         query: QueryId,
+        /// Why.
+        why: Ending,
     },
     /// Bring back [`Event::Timer`] in the first step at or after this time.
     SetTimer {
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -270,7 +270,7 @@
             }
         }
         if !sound {
-            eprintln!("badgergauge: an answer could not be read: its connection ends");
+            tracing::warn!("an answer could not be read: its connection ends");
         }
         match (result, sound) {
             (Ok(()), true) => self.ask(net, key, true),
@@ -289,7 +289,7 @@
     pub fn stalled(&mut self, net: &Net, now: Time, key: usize) {
         let limit = now.before(self.stall());
         if self.links.get(&key).and_then(|link| link.begun).is_some_and(|begun| begun <= limit) {
-            eprintln!("badgergauge: an answer did not end: its connection ends");
+            tracing::warn!("an answer did not end: its connection ends");
             self.drop_link(net, key);
         }
     }
@@ -304,7 +304,7 @@
                 .then_some(*key)
         };
         for key in self.links.iter().filter_map(dead).collect::<Vec<_>>() {
-            eprintln!("badgergauge: a connection to a server that answers has fallen silent: it ends");
+            tracing::warn!("a connection to a server that answers has fallen silent: it ends");
             self.drop_link(net, key);
         }
     }
@@ -474,7 +474,7 @@
                 self.done.push(Done::Probe(server, verdict, now.since(sent), load));
             }
             Some((b'e', words)) => {
-                eprintln!("badgergauge: a frame was not understood: {}", String::from_utf8_lossy(words));
+                tracing::warn!("a frame was not understood: {}", String::from_utf8_lossy(words));
             }
             _ => return false,
         }
--- a/src/bin/badgergauge-adapter/wire.rs
+++ b/src/bin/badgergauge-adapter/wire.rs
@@ -97,13 +97,15 @@
 
 fn encode(i: u64, action: &Action) -> Value {
     match *action {
-        Action::Send { part, server, time_out } => json!(["callOut", i, part.0, server.0, nanos(time_out)]),
+        Action::Send { part, server, time_out, .. } => {
+            json!(["callOut", i, part.0, server.0, nanos(time_out)])
+        }
         Action::CloseIdle { server } => json!(["hangUp", i, server.0]),
         Action::Probe { server } => json!(["touch", i, server.0]),
-        Action::Cancel { part, attempt } => json!(["dropAttempt", i, part.0, attempt]),
-        Action::Answer { query, whole } => json!(["settleQuery", i, query.0, whole]),
-        Action::Refuse { query, hold_off } => json!(["notNow", i, query.0, nanos(hold_off)]),
-        Action::Fail { query } => json!(["finishError", i, query.0]),
+        Action::Cancel { part, attempt, .. } => json!(["dropAttempt", i, part.0, attempt]),
+        Action::Answer { query, whole, .. } => json!(["settleQuery", i, query.0, whole]),
+        Action::Refuse { query, hold_off, .. } => json!(["notNow", i, query.0, nanos(hold_off)]),
+        Action::Fail { query, .. } => json!(["finishError", i, query.0]),
         Action::SetTimer { timer, at } => json!(["arm", i, at.0, timer.0]),
         Action::WatchServers => json!(["tail", i, true]),
     }
--- a/src/bin/badgergauge/main.rs
+++ b/src/bin/badgergauge/main.rs
@@ -1,20 +1,72 @@
-//! One broker on real sockets.
+//! The broker, and the tools round it.
 
+mod demo;
+mod serve;
+
+use std::io;
 use std::process::ExitCode;
 
-use badgergauge::broker::Broker;
-use badgergauge::config::Config;
+use clap::{CommandFactory, Parser, Subcommand};
+
+/// Done.
+pub const DONE: u8 = 0;
+/// What was given can't be used.
+pub const REFUSED: u8 = 1;
+
+/// A broker for sharded queries, and the tools round it.
+///
+/// Without a command it serves, by the variables and files that the README lists.
+#[derive(Parser)]
+#[command(
+    version,
+    after_help = "Exit codes: 0 done, 1 input refused, 2 wrong usage, 3 a result that is not \
+    complete was written all the same.\n\nExample:\n  badgergauge demo"
+)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serves until SIGTERM; the same as no command.
+    #[command(after_help = "Example:\n  BALANCER_NAME=n0 BALANCER_LISTEN=127.0.0.1:9000 \
+        BALANCER_DISCOVERY=127.0.0.1:8500 \\\n    BALANCER_CONFIG=config.json badgergauge serve")]
+    Serve,
+    /// Reads all configuration as a start would and says every fault, with its file, line and key.
+    #[command(after_help = "Example:\n  BALANCER_CONFIG=config.json BALANCER_SERVICE=service.yaml \
+        badgergauge check")]
+    Check,
+    /// Puts up stand-in tile servers and a broker on loopback ports, and says how to ask them.
+    #[command(after_help = "Example:\n  badgergauge demo --servers 6    # and Ctrl-C when done")]
+    Demo(demo::Arguments),
+    /// Writes the completions for a shell to standard output.
+    #[command(after_help = "Example:\n  badgergauge completions bash > badgergauge.bash")]
+    Completions {
+        /// The shell.
+        shell: clap_complete::Shell,
+    },
+}
 
 fn main() -> ExitCode {
-    let broker = match Config::from_env() {
-        Ok(config) => Broker::start(config).map_err(|error| error.to_string()),
-        Err(error) => Err(error.to_string()),
-    };
-    match broker.and_then(|broker| broker.run().map_err(|error| error.to_string())) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("badgergauge: {error}");
-            ExitCode::FAILURE
+    let code = match Arguments::parse().command.unwrap_or(Command::Serve) {
+        Command::Serve => serve::serve(),
+        Command::Check => serve::check(),
+        Command::Demo(arguments) => demo::run(&arguments),
+        Command::Completions { shell } => {
+            clap_complete::generate(shell, &mut Arguments::command(), "badgergauge", &mut io::stdout());
+            DONE
         }
+    };
+    ExitCode::from(code)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_command_line_is_sound() {
+        Arguments::command().debug_assert();
     }
 }
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::io::{self, Read};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -166,7 +166,7 @@
             let listener = TcpListener::bind(at).map_err(|error| invalid(format!("{at}: {error}")))?;
             listener.set_nonblocking(true)?;
             net.poll.add(&listener, key, true, false)?;
-            eprintln!("badgergauge: {} listens to {front} on {}", config.name, listener.local_addr()?);
+            tracing::info!("{} listens to {front} on {}", config.name, listener.local_addr()?);
             listeners.push((key, listener));
         }
         let mut inventory = config.ogc.as_ref().and_then(|ogc| ogc.inventory.clone()).map(Inventory::new);
@@ -210,6 +210,11 @@
         })
     }
 
+    /// Where it listens: to the platform's clients first.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.listeners.iter().filter_map(|(_, listener)| listener.local_addr().ok()).collect()
+    }
+
     /// Serves until SIGTERM has come and all that was taken is answered.
     ///
     /// # Errors
@@ -508,7 +513,7 @@
         self.backend.sweep(&self.net, now);
         match self.inventory.as_mut().map(|inventory| inventory.reread(now)) {
             Some(Ok(Some(list))) => take_list(&mut self.core, &mut self.backend, &list),
-            Some(Err(error)) => eprintln!("badgergauge: {error}"),
+            Some(Err(error)) => tracing::warn!("{error}"),
             _ => {}
         }
         let over = |client: &Client<Pending>| match (client.asked || client.closing, client.is_idle()) {
@@ -541,7 +546,7 @@
                 }
             }
             Ok(false) => {}
-            Err(error) => eprintln!("badgergauge: discovery: {error}"),
+            Err(error) => tracing::warn!("discovery: {error}"),
         }
         self.arm_watch(now);
     }
@@ -563,7 +568,7 @@
     }
 
     fn end_watch(&mut self, now: Time, why: &str) {
-        eprintln!("badgergauge: discovery: {why}");
+        tracing::warn!("discovery: {why}");
         if let Some(stream) = self.watch.as_mut().and_then(|watch| watch.drop_link(now)) {
             self.net.poll.remove(&stream);
         }
@@ -594,20 +599,20 @@
         let config = match Config::reread() {
             Ok(config) => config,
             Err(error) => {
-                eprintln!("badgergauge: not reloaded: {error}");
+                tracing::warn!("not reloaded: {error}");
                 return;
             }
         };
         let kept = config.kept_until_restart(&self.config);
         if !kept.is_empty() {
-            eprintln!("badgergauge: reload: {} will change at the next start", kept.join(", "));
+            tracing::info!("reload: {} will change at the next start", kept.join(", "));
         }
         let (Some(watch), Some(address)) = (&mut self.watch, config.discovery) else { return };
         self.config.discovery = config.discovery;
         if address == watch.address() {
             return;
         }
-        eprintln!("badgergauge: reload: discovery is now at {address}, {} open", self.core.open());
+        tracing::info!("reload: discovery is now at {address}, {} open", self.core.open());
         if let Some(stream) = watch.move_to(address) {
             self.net.poll.remove(&stream);
         }
@@ -618,7 +623,7 @@
         if self.stopping.is_some() {
             return;
         }
-        eprintln!("badgergauge: stopping, {} open", self.core.open());
+        tracing::info!("stopping, {} open", self.core.open());
         let classes = &self.settings.module.classes;
         let longest = classes.iter().map(|class| class.deadline).max().unwrap_or_default();
         let aim = classes.iter().map(|class| class.aim).max().unwrap_or_default();
@@ -639,7 +644,7 @@
         for (_, listener) in self.listeners.drain(..) {
             self.net.poll.remove(&listener);
         }
-        eprintln!("badgergauge: stopping, {} clients left", self.clients.len());
+        tracing::info!("stopping, {} clients left", self.clients.len());
     }
 
     /// Closes the connections that are idle; the others end with their answer.
@@ -661,7 +666,7 @@
         backend.shut(server);
     }
     let (up, draining) = core.listed();
-    eprintln!("badgergauge: servers: version {}, {up} up, {draining} draining", list.index);
+    tracing::info!("servers: version {}, {up} up, {draining} draining", list.index);
     for (member, address) in &list.members {
         if let (crate::interface::ServerState::Up, Some(address)) = (member.state, address) {
             backend.open(core.server_id(&member.name), *address);
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,7 +1,9 @@
 //! Configuration: the one place where it is read, checked and given defaults.
 
 pub mod ogc;
-pub mod settings;
+pub mod service;
+
+pub use badgergauge_core::settings;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -11,6 +13,7 @@
 use serde_json::Value;
 
 use self::ogc::Ogc;
+use self::service::Service;
 use self::settings::SiteSettings;
 
 /// What is wrong with the configuration, and where.
@@ -35,6 +38,24 @@
 
 impl std::error::Error for ConfigError {}
 
+/// All that is wrong, at least one fault. It is displayed as the first.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Faults(pub Vec<ConfigError>);
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.first().map_or(Ok(()), |first| first.fmt(f))
+    }
+}
+
+impl std::error::Error for Faults {}
+
+impl From<ConfigError> for Faults {
+    fn from(error: ConfigError) -> Self {
+        Faults(vec![error])
+    }
+}
+
 /// The limits a broker keeps within.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
@@ -66,12 +87,18 @@
     pub settings: SiteSettings,
     /// The list of servers as it last had it, in discovery's form.
     pub known: Option<Value>,
+    /// The settings as they were given, without spaces.
+    pub settings_json: String,
     /// The OGC front, where it has a file.
     pub ogc: Option<Ogc>,
+    /// What the operator's file switches on.
+    pub service: Service,
 }
 
 /// The OGC front's file, unless `BALANCER_OGC` names another.
 const OGC_FILE: &str = "deploy/ogc.yaml";
+/// The operator's file, unless `BALANCER_SERVICE` names another.
+const SERVICE_FILE: &str = "deploy/service.yaml";
 /// The variable that outranks the file's `discovery` at the start, and yields to it on a reload.
 const DISCOVERY: &str = "BALANCER_DISCOVERY";
 
@@ -101,25 +128,36 @@
 }
 
 impl Config {
-    /// Reads the environment and the file that it names.
+    /// Reads the environment and the files that it names.
     ///
     /// # Errors
     ///
-    /// Names the variable, or the file and key, at fault.
-    pub fn from_env() -> Result<Self, ConfigError> {
+    /// Names each variable, or file and key, at fault.
+    pub fn from_env() -> Result<Self, Faults> {
         Self::load(|name| env::var(name).ok())
     }
 
-    /// Reads the environment and the file again, while the program runs. Here the file's `discovery` goes
+    /// Reads the environment and the files again, while the program runs. Here the file's `discovery` goes
     /// before the variable, which can't change any more: else nothing could move the watch.
     ///
     /// # Errors
     ///
-    /// Names the variable, or the file and key, at fault.
-    pub fn reread() -> Result<Self, ConfigError> {
+    /// Names each variable, or file and key, at fault.
+    pub fn reread() -> Result<Self, Faults> {
         Self::load(|name| if name == DISCOVERY { None } else { env::var(name).ok() })
     }
 
+    /// Reads a configuration and an OGC front from files alone.
+    ///
+    /// # Errors
+    ///
+    /// Names each file and key at fault.
+    pub fn from_files(file: &Path, ogc: &Path) -> Result<Self, Faults> {
+        let mut config = Self::read(&place(file), &open(file)?, |_| None)?;
+        config.ogc = Ogc::read(ogc, &open(ogc)?, &config.settings).map_err(Faults)?;
+        Ok(config)
+    }
+
     /// The keys that differ from the running ones and wait for the next start.
     pub fn kept_until_restart(&self, running: &Config) -> Vec<&'static str> {
         let keys = [
@@ -127,84 +165,142 @@
             ("listen", self.listen == running.listen),
             ("limits", self.bounds == running.bounds),
             ("settings", self.settings == running.settings),
+            ("log", self.service.log == running.service.log),
         ];
         keys.into_iter().filter_map(|(key, same)| (!same).then_some(key)).collect()
     }
 
-    fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+    fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Self, Faults> {
         let file = env::var_os("BALANCER_CONFIG").map(PathBuf::from);
         let file = file.ok_or_else(|| error("BALANCER_CONFIG", "", "is not set"))?;
-        let open =
-            |file: &Path| fs::read_to_string(file).map_err(|e| error(&place(file), "", &e.to_string()));
-        let mut config = Self::read(&place(&file), &open(&file)?, variable)?;
+        let mut faults = Vec::new();
+        let config = open(&file).map_err(Faults::from);
+        let config = config.and_then(|text| Self::read(&place(&file), &text, &variable));
+        let mut config = config.map_err(|found| faults.extend(found.0)).ok();
+        // Without a file of its own, and none that was asked for, what it configures is off.
+        let beside = |variable: &str, usual: &str| {
+            let named = env::var_os(variable).map(PathBuf::from);
+            let path = named.clone().unwrap_or_else(|| usual.into());
+            (named.is_some() || path.exists()).then_some(path)
+        };
+        if let Some(path) = beside("BALANCER_SERVICE", SERVICE_FILE) {
+            let settings = config.as_ref().map(|config| &config.settings);
+            let text = open(&path).map_err(|error| vec![error]);
+            match text.and_then(|text| Service::read(&path, &text, settings)) {
+                Ok(service) => drop(config.as_mut().map(|config| config.service = service)),
+                Err(found) => faults.extend(found),
+            }
+        }
+        let Some(config) = &mut config else { return Err(Faults(faults)) };
+        if let Some(path) = beside("BALANCER_OGC", OGC_FILE) {
+            let text = open(&path).map_err(|error| vec![error]);
+            match text.and_then(|text| Ogc::read(&path, &text, &config.settings)) {
+                Ok(ogc) => config.ogc = ogc,
+                Err(found) => faults.extend(found),
+            }
+        }
         if config.discovery.is_none() {
-            config.discovery = env::var(DISCOVERY).ok().map(|at| address(DISCOVERY, "", &at)).transpose()?;
+            match env::var(DISCOVERY).ok().map(|at| address(DISCOVERY, "", &at)).transpose() {
+                Ok(discovery) => config.discovery = discovery,
+                Err(fault) => faults.push(fault),
+            }
+        }
+        if let Some(word) = variable("BALANCER_LOG_LEVEL") {
+            match service::level(&word) {
+                Ok(level) => config.service.log.level = level,
+                Err(fault) => faults.push(error("BALANCER_LOG_LEVEL", "", &fault)),
+            }
         }
-        let named = env::var_os("BALANCER_OGC").map(PathBuf::from);
-        let ogc = named.clone().unwrap_or_else(|| OGC_FILE.into());
-        // Without a file of its own, and none that was asked for, the front is off.
-        if named.is_some() || ogc.exists() {
-            config.ogc = Ogc::read(&ogc, &open(&ogc)?, &config.settings)?;
+        if let Some(word) = variable("BALANCER_LOG_FORMAT") {
+            match service::is_json(&word) {
+                Ok(json) => config.service.log.json = json,
+                Err(fault) => faults.push(error("BALANCER_LOG_FORMAT", "", &fault)),
+            }
         }
-        if config.discovery.is_none() && config.ogc.as_ref().is_none_or(|ogc| ogc.inventory.is_none()) {
+        let unlisted = config.ogc.as_ref().is_none_or(|ogc| ogc.inventory.is_none());
+        if config.discovery.is_none() && unlisted && faults.is_empty() {
             let fault = "is missing, BALANCER_DISCOVERY is not set, and no inventory lists the servers";
-            return Err(error(&place(&file), "discovery", fault));
+            faults.push(error(&place(&file), "discovery", fault));
         }
-        Ok(config)
+        if faults.is_empty() { Ok(config.clone()) } else { Err(Faults(faults)) }
     }
 
     /// Reads a configuration; a variable that is set goes before the file's key.
     ///
     /// # Errors
     ///
-    /// Names the variable, or the place and key, at fault.
-    pub fn read(
-        place: &str,
-        text: &str,
-        variable: impl Fn(&str) -> Option<String>,
-    ) -> Result<Self, ConfigError> {
+    /// Names each variable, or the place and key, at fault.
+    pub fn read(place: &str, text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, Faults> {
         let mut json = serde_json::Deserializer::from_str(text);
         let file: File = serde_path_to_error::deserialize(&mut json)
             .map_err(|e| error(place, &e.path().to_string(), &e.inner().to_string()))?;
+        let mut faults = Vec::new();
         let told = |name: &str, key: &str, value: Option<String>| match (variable(name), value) {
             (Some(value), _) => Ok((name.to_owned(), String::new(), value)),
             (None, Some(value)) => Ok((place.to_owned(), key.to_owned(), value)),
             (None, None) => Err(error(place, key, &format!("is missing, and {name} is not set"))),
         };
         let address = |(place, key, value): (String, String, String)| address(&place, &key, &value);
-        let seed = file.seed.unwrap_or_default();
         let settings = SiteSettings::read(&file.settings)
-            .map_err(|e| error(place, &format!("settings.{}", e.key), &e.fault))?;
-        settings.module.validate().map_err(|e| error(place, &format!("settings.{}", e.field), e.fault))?;
-        if let Some(class) = settings.module.classes.iter().position(|class| class.follow_up > 0) {
-            let key = format!("settings.extra.followUp[{class}]");
-            return Err(error(place, &key, "a second step is not spoken by any front"));
-        }
-        if let Some(class) = settings.classes.iter().position(String::is_empty) {
-            return Err(error(place, &format!("settings.profiles[{class}].name"), "is missing"));
+            .map_err(|e| faults.push(error(place, &format!("settings.{}", e.key), &e.fault)))
+            .ok();
+        if let Some(settings) = &settings {
+            let found = settings.module.faults();
+            faults.extend(found.into_iter().map(|e| error(place, &format!("settings.{}", e.field), e.fault)));
+            for (class, rules) in settings.module.classes.iter().enumerate() {
+                if rules.follow_up > 0 {
+                    let key = format!("settings.extra.followUp[{class}]");
+                    faults.push(error(place, &key, "a second step is not spoken by any front"));
+                }
+                if settings.classes.get(class).is_none_or(String::is_empty) {
+                    faults.push(error(place, &format!("settings.profiles[{class}].name"), "is missing"));
+                }
+            }
         }
-        let limit = |key: &str, value: Option<f64>, usual: usize, least: usize| match value {
-            None => Ok(usual),
-            Some(value) if value >= least as f64 => Ok((value as usize).min(usual)),
-            Some(_) => Err(error(place, key, &format!("must be {least} or more"))),
+        let mut limit = |key: &str, value: Option<f64>, usual: usize, least: usize| match value {
+            None => usual,
+            Some(value) if value >= least as f64 => (value as usize).min(usual),
+            Some(_) => {
+                faults.push(error(place, key, &format!("must be {least} or more")));
+                usual
+            }
         };
-        Ok(Config {
-            name: told("BALANCER_NAME", "name", file.name)?.2,
-            listen: address(told("BALANCER_LISTEN", "listen", file.listen)?)?,
-            discovery: told(DISCOVERY, "discovery", file.discovery).ok().map(address).transpose()?,
-            seed: u64::from_str_radix(if seed.is_empty() { "0" } else { &seed }, 16)
-                .map_err(|_| error(place, "seed", "must be up to 16 hex digits"))?,
-            bounds: Bounds {
-                memory_mb: limit("limits.memory_mb", file.limits.memory_mb, BOUNDS.memory_mb, 32)?,
-                sockets: limit("limits.sockets", file.limits.sockets, BOUNDS.sockets, LEAST_SOCKETS)?,
-            },
-            known: file.known.filter(|known| !known.is_null()),
-            settings,
-            ogc: None,
-        })
+        let bounds = Bounds {
+            memory_mb: limit("limits.memory_mb", file.limits.memory_mb, BOUNDS.memory_mb, 32),
+            sockets: limit("limits.sockets", file.limits.sockets, BOUNDS.sockets, LEAST_SOCKETS),
+        };
+        let seed = file.seed.unwrap_or_default();
+        let seed = u64::from_str_radix(if seed.is_empty() { "0" } else { &seed }, 16)
+            .map_err(|_| faults.push(error(place, "seed", "must be up to 16 hex digits")));
+        let name = told("BALANCER_NAME", "name", file.name).map_err(|fault| faults.push(fault));
+        let listen = told("BALANCER_LISTEN", "listen", file.listen).and_then(address);
+        let listen = listen.map_err(|fault| faults.push(fault));
+        let discovery = told(DISCOVERY, "discovery", file.discovery).ok().map(address).transpose();
+        let discovery = discovery.map_err(|fault| faults.push(fault));
+        match (settings, seed, name, listen, discovery) {
+            (Some(settings), Ok(seed), Ok((.., name)), Ok(listen), Ok(discovery)) if faults.is_empty() => {
+                Ok(Config {
+                    name,
+                    listen,
+                    discovery,
+                    seed,
+                    bounds,
+                    known: file.known.filter(|known| !known.is_null()),
+                    settings,
+                    settings_json: file.settings.to_string(),
+                    ogc: None,
+                    service: Service::default(),
+                })
+            }
+            _ => Err(Faults(faults)),
+        }
     }
 }
 
+fn open(file: &Path) -> Result<String, ConfigError> {
+    fs::read_to_string(file).map_err(|e| error(&place(file), "", &e.to_string()))
+}
+
 fn address(place: &str, key: &str, value: &str) -> Result<SocketAddr, ConfigError> {
     value.parse().map_err(|_| error(place, key, &format!("{value:?} is no address")))
 }
--- a/src/config/ogc.rs
+++ b/src/config/ogc.rs
@@ -138,8 +138,8 @@
     ///
     /// # Errors
     ///
-    /// Names the file, the line and the key at fault.
-    pub fn read(path: &Path, text: &str, settings: &SiteSettings) -> Result<Option<Self>, ConfigError> {
+    /// Names the file, the line and the key of each fault.
+    pub fn read(path: &Path, text: &str, settings: &SiteSettings) -> Result<Option<Self>, Vec<ConfigError>> {
         let place = path.display().to_string();
         let fault = |line: u64, key: String, fault: String| ConfigError {
             place: format!("{place}: line {line}"),
@@ -148,20 +148,26 @@
         };
         let file: File = serde_saphyr::from_str(text).map_err(|error| {
             let line = error.location().map_or(1, |at| at.line());
-            fault(line, String::new(), plain(&error))
+            vec![fault(line, String::new(), plain(&error))]
         })?;
         // On the platform there may be other classes and blocks than those named here.
         let Some(at) = file.listen else { return Ok(None) };
+        let mut faults = Vec::new();
         let listen = at.value.parse().map_err(|_| {
-            fault(at.referenced.line(), "listen".into(), format!("{:?} is no address", at.value))
-        })?;
+            faults.push(fault(
+                at.referenced.line(),
+                "listen".into(),
+                format!("{:?} is no address", at.value),
+            ));
+        });
         let prefix = file.namespace.prefix;
         if !is_name(&prefix.value) {
             let key = "namespace.prefix".into();
-            return Err(fault(prefix.referenced.line(), key, "must be an XML name without a colon".into()));
+            let why = "must be an XML name without a colon".into();
+            faults.push(fault(prefix.referenced.line(), key, why));
         }
         if let Some(count) = file.count.as_ref().filter(|count| count.value == 0) {
-            return Err(fault(count.referenced.line(), "count".into(), "must be above zero".into()));
+            faults.push(fault(count.referenced.line(), "count".into(), "must be above zero".into()));
         }
         let mut types: Vec<FeatureType> = Vec::new();
         for (index, described) in file.feature_types.into_iter().enumerate() {
@@ -169,32 +175,38 @@
             let TypeFile { name, title, class, grid } = described;
             if !is_name(&name.value) || types.iter().any(|t| t.name == name.value) {
                 let why = "must be an XML name without a colon, and used once";
-                return Err(fault(name.referenced.line(), key("name"), why.into()));
+                faults.push(fault(name.referenced.line(), key("name"), why.into()));
             }
             let line = class.referenced.line();
             let known = settings.classes.iter().position(|known| *known == class.value);
-            let class = known.ok_or_else(|| fault(line, key("class"), "no such class".into()))?;
+            if known.is_none() {
+                faults.push(fault(line, key("class"), "no such class".into()));
+            }
+            let class = known.unwrap_or_default();
             // A feature query is a read: it must never reach a class that writes.
-            if settings.module.classes[class].effect != Effect::Safe {
-                return Err(fault(line, key("class"), "is a class that writes".into()));
+            let writes =
+                |class: usize| settings.module.classes.get(class).map(|c| c.effect) != Some(Effect::Safe);
+            if known.is_some_and(writes) {
+                faults.push(fault(line, key("class"), "is a class that writes".into()));
             }
             let GridFile { extent, columns, rows, first_block: first } = grid.value;
             let line = grid.referenced.line();
             let sound =
                 extent.iter().all(|x| x.is_finite()) && extent[0] < extent[2] && extent[1] < extent[3];
             if !sound {
-                return Err(fault(line, key("grid.extent"), "must be west, south, east, north".into()));
+                faults.push(fault(line, key("grid.extent"), "must be west, south, east, north".into()));
             }
             let blocks = u64::from(columns) * u64::from(rows);
             if blocks == 0 || u64::from(first) + blocks > u64::from(settings.module.shards) {
                 let why =
                     format!("holds {blocks} blocks from {first} on; there are {}", settings.module.shards);
-                return Err(fault(line, key("grid"), why));
+                faults.push(fault(line, key("grid"), why));
             }
             let grid = Grid { extent, columns, rows, first };
             types.push(FeatureType { name: name.value, title, class, grid });
         }
         let beside = |name: String| path.parent().unwrap_or(Path::new("")).join(name);
+        let (Ok(listen), true) = (listen, faults.is_empty()) else { return Err(faults) };
         Ok(Some(Ogc {
             listen,
             inventory: file.inventory.map(beside),
--- a/src/inventory.rs
+++ b/src/inventory.rs
@@ -90,32 +90,49 @@
     }
 }
 
+type Server = (Member, Option<SocketAddr>);
+
 /// Reads an inventory: CSV where the file's name ends so, else YAML.
 ///
 /// # Errors
 ///
 /// Names the file, the line and the key at fault.
-pub fn read(path: &Path, text: &str) -> Result<Vec<(Member, Option<SocketAddr>)>, InventoryError> {
+pub fn read(path: &Path, text: &str) -> Result<Vec<Server>, InventoryError> {
+    let (servers, faults) = read_all(path, text);
+    faults.into_iter().next().map_or(Ok(servers), Err)
+}
+
+/// All faults of an inventory.
+pub fn faults(path: &Path, text: &str) -> Vec<InventoryError> {
+    read_all(path, text).1
+}
+
+/// The servers that can be used, and every fault in the order of the lines.
+fn read_all(path: &Path, text: &str) -> (Vec<Server>, Vec<InventoryError>) {
     let csv = path.extension().is_some_and(|end| end.eq_ignore_ascii_case("csv"));
     let rows = if csv { csv_rows(text) } else { yaml_rows(text) };
-    let servers = rows.and_then(|rows| {
-        let mut addresses: HashMap<SocketAddr, String> = HashMap::new();
-        let mut servers = Vec::with_capacity(rows.len());
-        for row in rows {
-            let (member, address) = row.server()?;
-            if let Some(other) = address.and_then(|a| addresses.insert(a, row.name.clone())) {
-                return Err((row.line, row.key("address"), format!("is {other}'s too")));
+    let (mut servers, mut faults): (Vec<Server>, Vec<Fault>) = (Vec::new(), Vec::new());
+    let mut addresses: HashMap<SocketAddr, String> = HashMap::new();
+    match rows {
+        Err(fault) => faults.push(fault),
+        Ok(rows) => {
+            for row in rows {
+                match row.server() {
+                    Err(fault) => faults.push(fault),
+                    Ok((member, address)) => {
+                        if let Some(other) = address.and_then(|a| addresses.insert(a, row.name.clone())) {
+                            faults.push((row.line, row.key("address"), format!("is {other}'s too")));
+                        }
+                        servers.push((member, address));
+                    }
+                }
             }
-            servers.push((member, address));
         }
-        Ok(servers)
-    });
-    servers.map_err(|(line, key, fault)| InventoryError {
-        file: path.display().to_string(),
-        line,
-        key,
-        fault,
-    })
+    }
+    faults.sort_by_key(|(line, ..)| *line);
+    let file = path.display().to_string();
+    let named = |(line, key, fault)| InventoryError { file: file.clone(), line, key, fault };
+    (servers, faults.into_iter().map(named).collect())
 }
 
 fn csv_rows(text: &str) -> Result<Vec<Row>, Fault> {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -146,3 +146,15 @@
     let end = |a: &&Action| matches!(a, Action::Answer { .. } | Action::Refuse { .. } | Action::Fail { .. });
     actions.iter().filter(end).count()
 }
+
+/// Whether a query is answered, and marked so.
+pub fn answers(actions: &[Action], id: u64, marked: bool) -> bool {
+    let is =
+        |a: &Action| matches!(a, Action::Answer { query, whole, .. } if query.0 == id && *whole == marked);
+    actions.iter().any(is)
+}
+
+/// Whether a query is failed.
+pub fn fails(actions: &[Action], id: u64) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Fail { query, .. } if query.0 == id))
+}
--- a/tests/incidents.rs
+++ b/tests/incidents.rs
@@ -400,7 +400,7 @@
     bench.now = bench.now.after(ms(1100));
     let served = outcome(id + 1, 0, Verdict::Served, ms(80));
     let actions = bench.step(&[served, Event::Timer(TimerId(0))]);
-    assert!(actions.contains(&Action::Answer { query: QueryId(id), whole: true }), "{actions:?}");
+    assert!(answers(&actions, id, true), "{actions:?}");
     let again: Vec<u64> = (0..20)
         .map(|_| {
             let (id, actions) = bench.query(0, &[0]);
@@ -494,7 +494,7 @@
         assert_eq!(sends(&actions), [(id + 1, 1)]);
         bench.step(&[Event::ServersChanged(vec![up(2)])]);
         bench.now = bench.now.after(ms(400));
-        let cancel = Action::Cancel { part: PartId(id + 1), attempt: 0 };
+        let cancel = Action::Cancel { part: PartId(id + 1), attempt: 0, why: Withdrawn::Silent };
         assert!(!bench.step(&[]).contains(&cancel), "too early");
         if answers {
             bench.step(&[outcome(other + 1, 0, Verdict::Served, ms(405))]);
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -13,7 +13,7 @@
     bench.now = bench.now.after(ms(50));
     assert_eq!(ends(&bench.end(id + 1, 0, Verdict::Served, ms(50))), 0);
     let actions = bench.end(id + 2, 0, Verdict::Served, ms(50));
-    assert!(actions.contains(&Action::Answer { query: QueryId(id), whole: true }));
+    assert!(answers(&actions, id, true));
 }
 
 #[test]
@@ -25,7 +25,7 @@
     assert!(sends(&actions).is_empty());
     let refused = actions
         .iter()
-        .any(|a| matches!(a, Action::Refuse { query, hold_off } if query.0 == id && !hold_off.is_zero()));
+        .any(|a| matches!(a, Action::Refuse { query, hold_off, .. } if query.0 == id && !hold_off.is_zero()));
     assert!(refused, "{actions:?}");
 }
 
@@ -42,7 +42,7 @@
     for _ in 0..95 {
         actions.extend(bench.wait(ms(10)));
     }
-    assert!(actions.contains(&Action::Answer { query: QueryId(id), whole: false }), "{actions:?}");
+    assert!(answers(&actions, id, false), "{actions:?}");
     assert!(bench.now <= Time(2_000_000_000));
 }
 
@@ -65,7 +65,7 @@
     let (id, _) = bench.query(0, &[0]);
     let actions = bench.end(id + 1, 0, Verdict::Error, ms(5));
     assert!(sends(&actions).is_empty());
-    assert!(actions.contains(&Action::Fail { query: QueryId(id) }), "{actions:?}");
+    assert!(fails(&actions, id), "{actions:?}");
 }
 
 #[test]
@@ -122,7 +122,7 @@
     assert_eq!(sends(&actions).len(), 4);
     bench.end(id + 1, 0, Verdict::Served, ms(20));
     let actions = bench.end(id + 3, 0, Verdict::Served, ms(20));
-    assert!(actions.contains(&Action::Answer { query: QueryId(id), whole: true }), "{actions:?}");
+    assert!(answers(&actions, id, true), "{actions:?}");
 }
 
 #[test]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -220,14 +220,14 @@
                 seen.attempts.push((server, None, now));
                 self.sends += 1;
             }
-            Action::Cancel { part, attempt } => {
+            Action::Cancel { part, attempt, .. } => {
                 let waits = self.out.iter().position(|&(p, a)| (p, a) == (part.0, attempt));
                 if let Some(index) = waits {
                     self.out.remove(index);
                     self.end(part.0, attempt, Verdict::Cancelled);
                 }
             }
-            Action::Answer { query, whole } => {
+            Action::Answer { query, whole, .. } => {
                 let seen = self.queries.get_mut(&query.0).expect("one final answer");
                 let class = &self.settings.classes[seen.class];
                 let served = |p: &&u64| self.parts[*p].attempts.iter().any(|a| a.1 == Some(Verdict::Served));
@@ -253,7 +253,7 @@
                     assert!(!seen.parts.iter().any(ran), "refused though it may have run");
                 }
             }
-            Action::Fail { query } => {
+            Action::Fail { query, .. } => {
                 self.queries.remove(&query.0).expect("one final answer");
             }
             Action::SetTimer { at, .. } => assert!(at > now),
