Trace files: format, recorder and tools for every event and decision with its reason

Need: after last quarter's restart trouble nobody could say which broker had sent which part where, or why.

Change: crates/trace holds the format (protobuf steps in zstd blocks with checksums, an index behind them), a reader that gives exactly what is whole of a cut or damaged file, the recorder's thread and the plan it follows (rotation, retention, failing disks, named gaps), and the tools: info, cat, cut, merge with clocks put right, mask, summary, explain, verify, repair. crates/synth makes stand-in traffic through the real cores in virtual time. The loop hands each step over and never waits. Off by default, off on the platform.

Tests cut a file at every byte, flip every bit, fill the disk in the middle of a block, merge overlapping windows of 20 s to every decision once, and verify finds no difference.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -131,6 +131,40 @@
     pub started: Option<Time>,
 }
 
+/// The names of a query that was taken.
+#[derive(Clone, Debug)]
+pub struct Names {
+    /// The query.
+    pub query: QueryId,
+    /// Its external name.
+    pub name: Arc<str>,
+    /// Its idempotency key, in a keyed class.
+    pub idempotency: Option<Arc<str>>,
+}
+
+/// All that a step was about, for whoever records it.
+#[derive(Clone, Debug, Default)]
+pub struct Observed {
+    /// The step's number, from 1.
+    pub sequence: u64,
+    /// When it was.
+    pub now: Time,
+    /// What the module was told.
+    pub events: Vec<Event>,
+    /// What it asked for.
+    pub actions: Vec<Action>,
+    /// The names of the queries among the events.
+    pub named: Vec<Names>,
+    /// Servers named since the last step.
+    pub servers: Vec<(ServerId, String)>,
+    /// Versions of the lists among the events.
+    pub versions: Vec<u64>,
+    /// Queries that were not taken since the last step, by class.
+    pub not_taken: Vec<(usize, NotTaken)>,
+    /// What the broker has to say of itself.
+    pub note: String,
+}
+
 struct Open {
     name: Arc<str>,
     ticket: Ticket,
@@ -171,6 +205,9 @@
     events: Vec<Event>,
     actions: Vec<Action>,
     last_id: u64,
+    /// What has gathered for whoever records, where anybody does.
+    observed: Option<Box<Observed>>,
+    sequence: u64,
 }
 
 impl Core {
@@ -194,21 +231,49 @@
             events: Vec::new(),
             actions: Vec::new(),
             last_id: 0,
+            observed: None,
+            sequence: 0,
         })
     }
 
+    /// Keeps what each step was about from now on, for [`Core::observed`].
+    pub fn observe(&mut self) {
+        self.observed = Some(Box::default());
+    }
+
+    /// What the last step was about. To be asked for after each step, or it adds up.
+    pub fn observed(&mut self) -> Option<Observed> {
+        let observed = self.observed.as_mut()?;
+        (observed.sequence > 0).then(|| std::mem::take(&mut **observed))
+    }
+
+    /// What the broker has to say of itself goes with the next step.
+    pub fn note(&mut self, note: &str) {
+        if let Some(observed) = &mut self.observed {
+            if !observed.note.is_empty() {
+                observed.note.push_str("; ");
+            }
+            observed.note.push_str(note);
+        }
+    }
+
     /// Takes a query: from here on it is owed exactly one final answer.
     ///
     /// # Errors
     ///
     /// When it is not taken.
     pub fn take(&mut self, now: Time, query: NewQuery, ticket: Ticket) -> Result<QueryId, NotTaken> {
-        if self.queries.len() + self.parts.len() >= self.settings.max_open {
-            return Err(NotTaken::Full);
-        }
         let name: Arc<str> = query.name.into();
-        if self.names.contains_key(&name) {
-            return Err(NotTaken::NameInUse);
+        let why = if self.queries.len() + self.parts.len() >= self.settings.max_open {
+            Some(NotTaken::Full)
+        } else {
+            self.names.contains_key(&name).then_some(NotTaken::NameInUse)
+        };
+        if let Some(why) = why {
+            if let Some(observed) = &mut self.observed {
+                observed.not_taken.push((query.class, why));
+            }
+            return Err(why);
         }
         let id = QueryId(self.next_id());
         let number = QueryNumber(id.0);
@@ -229,10 +294,14 @@
             parts.push(OpenPart { id: part, shard, value: None });
         }
         self.names.insert(name.clone(), id);
+        let idempotency: Option<Arc<str>> = query.idempotency.map(Into::into);
+        if let Some(observed) = &mut self.observed {
+            observed.named.push(Names { query: id, name: name.clone(), idempotency: idempotency.clone() });
+        }
         let open = Open {
             name,
             ticket,
-            idempotency: query.idempotency.map(Into::into),
+            idempotency,
             text: query.text.into(),
             ends_at: now.after(query.left),
             parts,
@@ -299,7 +368,11 @@
     }
 
     /// Takes a list of servers, whole or of changes, and gives who may no longer be sent anything.
-    pub fn take_list(&mut self, whole: bool, members: &[Member]) -> Vec<ServerId> {
+    /// `version` is the list's number, for the record.
+    pub fn take_list(&mut self, whole: bool, version: u64, members: &[Member]) -> Vec<ServerId> {
+        if let Some(observed) = &mut self.observed {
+            observed.versions.push(version);
+        }
         let before = if whole { std::mem::take(&mut self.listed) } else { HashMap::new() };
         let mut stopped: Vec<ServerId> = Vec::new();
         let mut lines = Vec::with_capacity(members.len());
@@ -349,6 +422,9 @@
             id = ServerId(id.0.wrapping_add(1));
         }
         self.servers.insert(id, name.to_owned());
+        if let Some(observed) = &mut self.observed {
+            observed.servers.push((id, name.to_owned()));
+        }
         self.ids.insert(name.to_owned(), id);
         id
     }
@@ -387,7 +463,7 @@
             }
         }
         self.router.step(now, &events, &mut actions);
-        for event in events.drain(..) {
+        for event in &events {
             // A query's deadline is set once the module has seen it.
             if let Event::Query(query) = event
                 && let Some(open) = self.queries.get(&query.id)
@@ -395,6 +471,16 @@
                 commands.push(Command::ArmDeadline(open.ends_at, query.id));
             }
         }
+        self.sequence += 1;
+        match &mut self.observed {
+            Some(observed) => {
+                (observed.sequence, observed.now) = (self.sequence, now);
+                // Moved and not copied: the next step begins with an empty one either way.
+                observed.events = std::mem::take(&mut events);
+                observed.actions.clone_from(&actions);
+            }
+            None => events.clear(),
+        }
         for action in actions.drain(..) {
             commands.extend(self.carry_out(now, action));
         }
@@ -470,12 +556,12 @@
             |name: &str, state| Member { name: name.into(), zone: "z".into(), cell: 0, state, started: None };
         for number in 0..100 {
             let (old, new) = (format!("s-{number}"), format!("s-{}", number + 1));
-            core.take_list(number % 10 == 0, &[member(&new, ServerState::Up)]);
-            core.take_list(false, &[member(&old, ServerState::Removed)]);
+            core.take_list(number % 10 == 0, number, &[member(&new, ServerState::Up)]);
+            core.take_list(false, number, &[member(&old, ServerState::Removed)]);
         }
         assert_eq!((core.ids.len(), core.servers.len(), core.listed()), (1, 1, (1, 0)));
         let id = core.server_id("s-100");
-        core.take_list(true, &[member("s-100", ServerState::Up)]);
+        core.take_list(true, 1, &[member("s-100", ServerState::Up)]);
         assert_eq!(core.server_id("s-100"), id);
     }
 }
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -256,7 +256,7 @@
 }
 
 /// A query taken in. Its parts follow in the same step.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Query {
     /// Its id.
     pub id: QueryId,
@@ -275,7 +275,7 @@
 }
 
 /// A part of a query, of its first step or its second.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Part {
     /// Its id.
     pub id: PartId,
@@ -328,7 +328,7 @@
 }
 
 /// A line of the server list.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Listed {
     /// The server.
     pub server: ServerId,
@@ -343,7 +343,7 @@
 }
 
 /// What happened since the last step.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// A query was taken in.
     Query(Query),
--- /dev/null
+++ b/crates/trace/tests/common/mod.rs
@@ -0,0 +1,137 @@
+//! Small traces of the project's own traffic, in memory.
+#![allow(dead_code)]
+
+use std::io::Cursor;
+use std::time::Duration;
+
+use badgergauge_core::*;
+use badgergauge_trace::record::{Named, NotTaken, Why};
+use badgergauge_trace::{End, Gap, Header, Reader, Record, Servers, Source, Writer};
+
+pub fn source(broker: &str, run: u64) -> Source {
+    Source {
+        broker: broker.to_owned(),
+        run,
+        unix_at_zero: 1_795_766_400_000_000_000,
+        settings_digest: Source::digest("{}"),
+        classes: vec!["parcel-search".into(), "title-flag".into()],
+        zones: vec!["cardiff".into()],
+        settings: "{}".into(),
+        seed: 5,
+        ..Source::default()
+    }
+}
+
+pub fn servers() -> Servers {
+    (1..=3).map(|n| (ServerId(n), format!("tile0{n}.cardiff.example.org"))).collect()
+}
+
+/// A step with everything that a step may hold, its numbers made from `n`.
+pub fn step(n: u64) -> Record {
+    let id = n * 10;
+    let part = |i: u64| PartId(id + 1 + i);
+    let load = LoadReport { held: Some(n as f64), service_seconds: Some(0.25), ..LoadReport::default() };
+    let listed = |server: u64, state| Listed {
+        server: ServerId(server),
+        zone: if server == 3 { u32::MAX } else { 0 },
+        cell: server as u32,
+        state,
+        started: (server == 2).then_some(Time(n * 7)),
+    };
+    let ending =
+        Ending { cause: Cause::TooLittle, missing: vec![(part(0), Missing::Spent), (part(1), Missing::Out)] };
+    let choice = Choice { home: ServerId(2), left: Some(Left::Doubtful), predicted: 0.5, allowed: 1.5 };
+    Record {
+        source: 0,
+        sequence: n,
+        time: Time(1_000_000_000 + n * 5_000_000),
+        events: vec![
+            Event::Servers(vec![listed(1, ServerState::Up), listed(3, ServerState::Draining)]),
+            Event::ServersChanged(vec![listed(2, ServerState::Removed)]),
+            Event::ServersFailed,
+            Event::Query(Query {
+                id: QueryId(id),
+                number: QueryNumber(id),
+                class: (n % 2) as usize,
+                tenant: 0,
+                key: Some(0xdead_beef_0000_0000 | n),
+                repeated: n.is_multiple_of(3),
+                left: Duration::from_millis(5000 - n % 1000),
+            }),
+            Event::Part(Part { id: part(0), query: QueryNumber(id), shard: ShardId(4), weight: 0.25 }),
+            Event::Part(Part { id: part(1), query: QueryNumber(id), shard: ShardId(5), weight: 0.75 }),
+            Event::Outcome {
+                part: part(0),
+                attempt: 1,
+                verdict: Verdict::ConnectionLost,
+                took: Duration::from_nanos(n),
+                load,
+            },
+            Event::Probed {
+                server: ServerId(1),
+                verdict: Verdict::NoAnswer,
+                took: Duration::from_millis(3),
+                load: LoadReport::default(),
+            },
+            Event::ClientGone(QueryId(id)),
+            Event::Timer(TimerId(n)),
+        ],
+        actions: vec![
+            Action::Send {
+                part: part(0),
+                server: ServerId(1),
+                time_out: Duration::from_millis(900),
+                why: choice,
+            },
+            Action::Cancel { part: part(1), attempt: 0, why: Withdrawn::Silent },
+            Action::CloseIdle { server: ServerId(3) },
+            Action::Probe { server: ServerId(2) },
+            Action::Answer { query: QueryId(id), whole: false, why: ending.clone() },
+            Action::Refuse { query: QueryId(id), hold_off: Duration::from_millis(300), why: ending.clone() },
+            Action::Fail { query: QueryId(id), why: ending },
+            Action::SetTimer { timer: TimerId(n), at: Time(1_000_000_000 + n * 6_000_000) },
+            Action::WatchServers,
+        ],
+        named: vec![Named {
+            query: QueryId(id),
+            name: format!("{:016x}", n * 77),
+            idempotency: (n % 2 == 1).then(|| format!("{n:032x}")),
+        }],
+        versions: vec![n, n + 1],
+        not_taken: vec![NotTaken { class: 1, why: Why::NameInUse }],
+        gap: n.is_multiple_of(4).then(|| Gap { first: n - 2, last: n - 1, why: "the queue was full".into() }),
+        note: if n.is_multiple_of(5) { "stopping".into() } else { String::new() },
+    }
+}
+
+/// A file of blocks of so many steps each, and where each block ends.
+pub fn file(records: &[Record], a_block: usize, close: bool) -> (Vec<u8>, Vec<usize>) {
+    file_of(Header::new(vec![source("n1", 9)], false), records, a_block, close)
+}
+
+pub fn file_of(header: Header, records: &[Record], a_block: usize, close: bool) -> (Vec<u8>, Vec<usize>) {
+    let mut bytes = Vec::new();
+    let mut ends = Vec::new();
+    let mut writer = Writer::new(&mut bytes, header).expect("written");
+    ends.push(writer.size() as usize);
+    for chunk in records.chunks(a_block) {
+        chunk.iter().for_each(|record| writer.add(record, &servers()).expect("written"));
+        writer.flush().expect("written");
+        ends.push(writer.size() as usize);
+    }
+    if close {
+        writer.finish().expect("written");
+    }
+    (bytes, ends)
+}
+
+/// All that a file gives: its records, and how it ends; none where it can't be opened.
+pub fn read(bytes: &[u8]) -> Option<(Vec<Record>, End, usize)> {
+    let mut reader = Reader::open(Cursor::new(bytes)).ok()?;
+    let mut records = Vec::new();
+    while let Some(block) = reader.next_block().expect("memory does not fail") {
+        records.extend(block);
+    }
+    let damage = reader.damage().len();
+    reader.end().map(|end| (records, end, damage))
+}
--- /dev/null
+++ b/crates/trace/tests/proto.rs
@@ -0,0 +1,132 @@
+//! The `.proto` file and the Rust types say the same: what the types write, a reader made from the file alone
+//! reads without anything left over, and writes back byte for byte.
+
+mod common;
+
+use badgergauge_trace::codec::Encoder;
+use badgergauge_trace::wire;
+use common::*;
+use prost::Message;
+use prost_reflect::{DescriptorPool, DynamicMessage, Kind, ReflectMessage, Value};
+
+fn pool() -> DescriptorPool {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/proto");
+    let set = protox::compile(["trace.proto"], [folder]).expect("the .proto file is sound");
+    DescriptorPool::from_file_descriptor_set(set).expect("sound")
+}
+
+/// Checks that nothing is left over in a message, and notes which fields were met.
+fn walk(message: &DynamicMessage, met: &mut std::collections::BTreeSet<String>) {
+    assert_eq!(message.unknown_fields().count(), 0, "{}", message.descriptor().full_name());
+    for (field, value) in message.fields() {
+        met.insert(field.full_name().to_owned());
+        match value {
+            Value::Message(inner) => walk(inner, met),
+            Value::List(list) => list.iter().for_each(|value| {
+                if let Value::Message(inner) = value {
+                    walk(inner, met);
+                }
+            }),
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn both_say_the_same() {
+    let pool = pool();
+    let mut encoder = Encoder::default();
+    for n in 1..=20 {
+        encoder.add(&step(n), &servers());
+    }
+    // What an ordinary step leaves out.
+    let mut odd = step(7);
+    odd.events = vec![
+        badgergauge_core::Event::Part(badgergauge_core::Part {
+            id: badgergauge_core::PartId(9),
+            query: badgergauge_core::QueryNumber(3),
+            shard: badgergauge_core::ShardId(1),
+            weight: 1.0,
+        }),
+        badgergauge_core::Event::Query(badgergauge_core::Query {
+            id: badgergauge_core::QueryId(5),
+            number: badgergauge_core::QueryNumber(6),
+            class: 1,
+            tenant: 2,
+            key: None,
+            repeated: false,
+            left: std::time::Duration::ZERO,
+        }),
+        badgergauge_core::Event::Probed {
+            server: badgergauge_core::ServerId(2),
+            verdict: badgergauge_core::Verdict::Error,
+            took: std::time::Duration::from_nanos(4),
+            load: badgergauge_core::LoadReport {
+                held: Some(1.0),
+                waiting: Some(2.0),
+                utilisation: Some(0.5),
+                service_seconds: Some(0.1),
+            },
+        },
+    ];
+    odd.source = 1;
+    odd.actions.push(badgergauge_core::Action::Cancel {
+        part: badgergauge_core::PartId(9),
+        attempt: 2,
+        why: badgergauge_core::Withdrawn::Over,
+    });
+    odd.actions.push(badgergauge_core::Action::Answer {
+        query: badgergauge_core::QueryId(5),
+        whole: true,
+        why: badgergauge_core::Ending { cause: badgergauge_core::Cause::Whole, missing: vec![] },
+    });
+    for action in &mut odd.actions {
+        if let badgergauge_core::Action::Send { server, .. } = action {
+            *server = badgergauge_core::ServerId(3);
+        }
+    }
+    encoder.add(&odd, &servers());
+    let source = wire::Source {
+        broker: "n".into(),
+        run: 1,
+        unix_at_zero: -2,
+        settings_digest: vec![3],
+        classes: vec!["c".into()],
+        zones: vec!["z".into()],
+        settings: "{}".into(),
+        seed: 4,
+        sample: vec![0.5],
+        moved: -6,
+    };
+    let header = wire::Header { sources: vec![source], masked: true, made_by: "b".into() };
+    let entry = wire::Entry {
+        offset: 1,
+        records: 2,
+        first_time: -3,
+        last_time: 4,
+        spans: vec![wire::Span { source: 1, first: 5, last: 6 }],
+        taken: vec![7],
+        names: vec![8],
+        queries: vec![9],
+    };
+    let footer = wire::Footer { header: Some(header.clone()), blocks: vec![entry] };
+    let written = [
+        ("Header", header.encode_to_vec()),
+        ("Block", encoder.take().encode_to_vec()),
+        ("Footer", footer.encode_to_vec()),
+    ];
+    let mut met = std::collections::BTreeSet::new();
+    for (name, bytes) in written {
+        let kind = pool.get_message_by_name(&format!("badgergauge.trace.v1.{name}")).expect("there");
+        let message = DynamicMessage::decode(kind, &bytes[..]).expect("read by the .proto file");
+        walk(&message, &mut met);
+        assert_eq!(message.encode_to_vec(), bytes, "{name}");
+    }
+    // And every field that the file describes was among what was written.
+    for kind in pool.all_messages() {
+        for field in kind.fields() {
+            assert!(met.contains(field.full_name()), "{} is never written", field.full_name());
+            assert!(!matches!(field.kind(), Kind::Message(of) if of.full_name().is_empty()));
+        }
+    }
+}
--- a/src/bin/badgergauge/main.rs
+++ b/src/bin/badgergauge/main.rs
@@ -2,6 +2,7 @@
 
 mod demo;
 mod serve;
+mod trace;
 
 use std::io;
 use std::process::ExitCode;
@@ -12,6 +13,8 @@
 pub const DONE: u8 = 0;
 /// What was given can't be used.
 pub const REFUSED: u8 = 1;
+/// A result that is not complete was written all the same.
+pub const INCOMPLETE: u8 = 3;
 
 /// A broker for sharded queries, and the tools round it.
 ///
@@ -40,6 +43,13 @@
     /// Puts up stand-in tile servers and a broker on loopback ports, and says how to ask them.
     #[command(after_help = "Example:\n  badgergauge demo --servers 6    # and Ctrl-C when done")]
     Demo(demo::Arguments),
+    /// Makes, reads, cuts, merges, masks and checks trace files.
+    #[command(
+        subcommand,
+        after_help = "Example:\n  badgergauge trace synth --duration 1m --out t && badgergauge \
+        trace summary t"
+    )]
+    Trace(trace::Trace),
     /// Writes the completions for a shell to standard output.
     #[command(after_help = "Example:\n  badgergauge completions bash > badgergauge.bash")]
     Completions {
@@ -53,6 +63,7 @@
         Command::Serve => serve::serve(),
         Command::Check => serve::check(),
         Command::Demo(arguments) => demo::run(&arguments),
+        Command::Trace(tool) => trace::run(tool),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Arguments::command(), "badgergauge", &mut io::stdout());
             DONE
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -23,6 +23,7 @@
 use crate::net::clock::Clock;
 use crate::net::http::Response;
 use crate::net::{Due, Net};
+use crate::record::Tape;
 
 const LISTEN: usize = 0;
 const SIGNAL: usize = 1;
@@ -98,6 +99,8 @@
     settings: Arc<SiteSettings>,
     net: Net,
     core: Core,
+    /// The trace, where it is on.
+    tape: Option<Tape>,
     backend: Backend,
     /// Where the list of servers comes from: one source alone, as each gives it whole.
     watch: Option<Watch>,
@@ -147,6 +150,7 @@
         let settings = Arc::new(config.settings.clone());
         let mut core =
             Core::new(settings.clone(), config.seed).map_err(|error| invalid(error.to_string()))?;
+        let tape = Tape::start(&config, &clock, &mut core)?;
         let backend_links = config.bounds.sockets / 4;
         let memory = config.bounds.memory_mb * 1024 * 1024;
         let by_memory = memory / CLIENT_SHARE / CLIENT_MEMORY;
@@ -189,6 +193,7 @@
             settings,
             net,
             core,
+            tape,
             backend,
             watch,
             inventory,
@@ -245,6 +250,9 @@
                 self.step(now);
             }
         }
+        if let Some(tape) = self.tape.take() {
+            tape.close(self.net.clock.now());
+        }
         Ok(())
     }
 
@@ -310,6 +318,9 @@
         self.last_step = now;
         let mut commands = std::mem::take(&mut self.commands);
         self.core.step(now, &mut commands);
+        if let Some(tape) = &mut self.tape {
+            tape.take(&mut self.core);
+        }
         for command in commands.drain(..) {
             self.carry_out(now, command);
         }
@@ -603,7 +614,12 @@
                 return;
             }
         };
-        let kept = config.kept_until_restart(&self.config);
+        let mut kept = config.kept_until_restart(&self.config);
+        match &mut self.tape {
+            Some(tape) => kept.extend(tape.reload(config.service.trace.as_ref())),
+            None if config.service.trace.is_some() => kept.push("trace"),
+            None => {}
+        }
         if !kept.is_empty() {
             tracing::info!("reload: {} will change at the next start", kept.join(", "));
         }
@@ -624,6 +640,7 @@
             return;
         }
         tracing::info!("stopping, {} open", self.core.open());
+        self.core.note("stopping");
         let classes = &self.settings.module.classes;
         let longest = classes.iter().map(|class| class.deadline).max().unwrap_or_default();
         let aim = classes.iter().map(|class| class.aim).max().unwrap_or_default();
@@ -662,7 +679,7 @@
 /// Gives a list to the core, and its addresses to the connections.
 fn take_list(core: &mut Core, backend: &mut Backend, list: &Listing) {
     let members: Vec<_> = list.members.iter().map(|(member, _)| member.clone()).collect();
-    for server in core.take_list(list.whole, &members) {
+    for server in core.take_list(list.whole, list.index, &members) {
         backend.shut(server);
     }
     let (up, draining) = core.listed();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod inventory;
 pub mod log;
 pub mod net;
+pub mod record;
 
 pub use badgergauge_core::{core, decide, interface};
 
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -27,6 +27,18 @@
         START.after(self.start.elapsed())
     }
 
+    /// Unix time of the clock's zero, in nanoseconds.
+    pub fn unix_at_zero(&self) -> i64 {
+        let start = i64::try_from(self.unix_at_start.as_nanos()).unwrap_or(i64::MAX);
+        start.saturating_sub(START.0 as i64)
+    }
+
+    /// A number for this run: none before it has had it, unless the system's clock was set back to the
+    /// nanosecond.
+    pub fn run(&self) -> u64 {
+        self.unix_at_start.as_nanos() as u64
+    }
+
     /// The moment of a Unix time in milliseconds; none for 0 or what lies too far back to matter.
     pub fn at_unix(&self, ms: u64) -> Option<Time> {
         let (at, start) = (Duration::from_millis(ms), self.unix_at_start);
--- /dev/null
+++ b/tests/trace.rs
@@ -0,0 +1,204 @@
+//! The recorder beside the running program: what it writes is what was asked and decided, and a replay of it
+//! decides the same.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use badgergauge_standin::{Manner, TileServer};
+use badgergauge_trace::merge::{Merged, files};
+use badgergauge_trace::tools;
+use serde_json::{Value, json};
+
+/// Long after anything that works has happened; no verdict hangs on it.
+const HANGS: std::time::Duration = std::time::Duration::from_secs(20);
+
+struct Broker {
+    program: Child,
+    address: String,
+    dir: PathBuf,
+    log: std::sync::mpsc::Receiver<String>,
+}
+
+impl Drop for Broker {
+    fn drop(&mut self) {
+        let _ = self.program.kill();
+        let _ = self.program.wait();
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Broker {
+    fn start(name: &str, servers: &[TileServer], service: &str) -> Self {
+        let dir = std::env::temp_dir().join(format!("badgergauge-trace-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        let mut config: Value = serde_json::from_str(include_str!("exchanges/config.json")).expect("JSON");
+        for (cell, server) in servers.iter().enumerate() {
+            let line = json!({"name": format!("s{cell}"), "address": server.address().to_string(), "zone": "z",
+                "group": cell, "status": "up", "since_ms": 0});
+            config["known"]["endpoints"].as_array_mut().expect("a list").push(line);
+        }
+        // Both servers hold every shard.
+        config["settings"]["extra"]["width"] = 2.into();
+        std::fs::write(dir.join("config.json"), config.to_string()).expect("written");
+        std::fs::write(
+            dir.join("service.yaml"),
+            service.replace("DIR", &dir.join("t").display().to_string()),
+        )
+        .expect("written");
+        let mut program = Command::new(env!("CARGO_BIN_EXE_badgergauge"))
+            .env("BALANCER_CONFIG", dir.join("config.json"))
+            .env("BALANCER_SERVICE", dir.join("service.yaml"))
+            .env("BALANCER_LISTEN", "127.0.0.1:0")
+            // Nobody listens there: the list is the known one.
+            .env("BALANCER_DISCOVERY", "127.0.0.1:1")
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("starts");
+        let mut lines = BufReader::new(program.stderr.take().expect("piped")).lines().map_while(Result::ok);
+        let line = lines.by_ref().find(|line| line.contains(" listens ")).expect("it listens");
+        let address = line.rsplit(' ').next().expect("an address").to_owned();
+        let (sender, log) = std::sync::mpsc::channel();
+        std::thread::spawn(move || lines.try_for_each(|line| sender.send(line)));
+        Broker { program, address, dir, log }
+    }
+
+    fn ask(&self, class: &str, name: &str, headers: &str) -> String {
+        let body = r#"{"tablets":[{"tablet":0,"fraction":0.5},{"tablet":1,"fraction":0.5}],"statement":"secret-text"}"#;
+        let mut stream = TcpStream::connect(&self.address).expect("listens");
+        write!(
+            stream,
+            "POST /{class} HTTP/1.1\r\nHost: h\r\nX-Request-ID: {name}\r\nX-Timeout: 9000m\r\n{headers}\
+             Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        )
+        .expect("written");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        answer
+    }
+
+    fn signal(&self, signal: &str) {
+        let id = self.program.id().to_string();
+        assert!(Command::new("kill").args(["-s", signal, &id]).status().expect("runs").success());
+    }
+
+    fn stop(&mut self) {
+        self.signal("TERM");
+        assert_eq!(self.program.wait().expect("ends").code(), Some(0));
+    }
+
+    fn files(&self) -> Vec<PathBuf> {
+        files(&[self.dir.join("t")]).expect("files")
+    }
+}
+
+fn servers() -> Vec<TileServer> {
+    (0..2).map(|_| TileServer::start().expect("starts")).collect()
+}
+
+fn all(files: &[PathBuf]) -> Merged {
+    Merged::open(files, i64::MIN..i64::MAX).expect("sound")
+}
+
+fn story(files: &[PathBuf], name: &str) -> Vec<String> {
+    let (told, ..) = tools::explain(files, name, false).expect("read");
+    told.into_iter().map(|one| one.line.text).collect()
+}
+
+// Guards the way from a request to a trace that answers for it: every step is there, closed by SIGTERM and
+// begun anew by SIGHUP, and this build decides the same from it.
+#[test]
+fn what_was_asked_and_decided_is_on_record() {
+    let servers = servers();
+    let mut broker = Broker::start("record", &servers, "trace: {dir: DIR, file_mb: 1, total_mb: 4}\n");
+    assert!(broker.ask("search", "q1", "X-Route-Key: 00000000deadbeef\r\n").contains("\"full\":true"));
+    // One server fails: its parts are sent to the other.
+    servers[0].behave(Manner::Break);
+    for number in 2..8 {
+        assert!(broker.ask("search", &format!("q{number}"), "").contains("\"full\":true"));
+    }
+    broker.signal("HUP");
+    while !broker.log.recv_timeout(HANGS).expect("it says so").contains("a new file begins") {}
+    servers[0].behave(Manner::Serve);
+    assert!(broker.ask("flag", "q8", "Idempotency-Key: key-8\r\n").contains("\"full\":true"));
+    broker.stop();
+    let files = broker.files();
+    assert_eq!(files.len(), 2, "{files:?}");
+    let (runs, notices, _) = tools::verify(all(&files), true, &mut |_, _| {}).expect("read");
+    assert!(notices.is_empty(), "{notices:?}");
+    assert_eq!((runs.len(), &runs[0].difference, &runs[0].stopped), (1, &None, &None));
+    assert!(runs[0].decisions >= 8 * 3, "{}", runs[0].decisions);
+    let first = story(&files, "q1");
+    let key = "key 00000000deadbeef";
+    assert!(first[0].starts_with("query 1 taken: search \"q1\"") && first[0].contains(key), "{first:?}");
+    let says = |words: &str| first.iter().any(|line| line.contains(words));
+    assert!(says("block 0: sent to s") && says("its home") && says("served after"), "{first:?}");
+    assert!(first.last().is_some_and(|line| line.contains("answered whole")), "{first:?}");
+    let moved = (2..8).flat_map(|number| story(&files, &format!("q{number}")));
+    assert!(moved.filter(|line| line.contains("it was at its home s0 before")).count() >= 1);
+    // By its idempotency key it is found as well.
+    assert_eq!(story(&files, "key-8"), story(&files, "q8"));
+    // What parts carry and what servers answer is never on record.
+    for path in &files {
+        let mut reader = badgergauge_trace::merge::open(path).expect("sound");
+        while let Some(records) = reader.next_block().expect("read") {
+            let text = format!("{records:?}");
+            assert!(
+                !text.contains("secret-text")
+                    && !text.contains(&badgergauge_standin::value(0, b"secret-text"))
+            );
+        }
+    }
+}
+
+// Guards against a crash: what was on record a moment before is read, and the rest is named as cut off.
+#[test]
+fn a_killed_broker_leaves_a_trace_that_is_read() {
+    let mut broker = Broker::start("killed", &servers(), "trace: {dir: DIR}\n");
+    assert!(broker.ask("search", "q1", "").contains("\"full\":true"));
+    // A block is written once a second: it is there when the file has grown beyond its header.
+    let length =
+        || broker.files().iter().map(|path| std::fs::metadata(path).expect("there").len()).sum::<u64>();
+    let header = length();
+    while length() == header {
+        std::thread::yield_now();
+    }
+    broker.program.kill().expect("runs");
+    broker.program.wait().expect("ends");
+    let files = broker.files();
+    let mut merged = all(&files);
+    let mut named = Vec::new();
+    while let Some(record) = merged.next_record().expect("read") {
+        named.extend(record.named.into_iter().map(|named| named.name));
+    }
+    assert_eq!(named, ["q1"]);
+    let notices = merged.notices();
+    assert!(notices.iter().all(|notice| notice.what.contains("not closed")), "{notices:?}");
+}
+
+// Guards the start: a folder that can't be used ends the program with the key.
+#[test]
+fn a_folder_that_cannot_be_made_is_refused() {
+    let dir = std::env::temp_dir().join(format!("badgergauge-trace-{}-refused", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    std::fs::write(dir.join("file"), "").expect("written");
+    std::fs::write(dir.join("config.json"), include_str!("exchanges/config.json")).expect("written");
+    let service = format!("trace: {{dir: \"{}\"}}\n", dir.join("file/t").display());
+    std::fs::write(dir.join("service.yaml"), service).expect("written");
+    let output = Command::new(env!("CARGO_BIN_EXE_badgergauge"))
+        .env("BALANCER_CONFIG", dir.join("config.json"))
+        .env("BALANCER_SERVICE", dir.join("service.yaml"))
+        .env("BALANCER_LISTEN", "127.0.0.1:0")
+        .env("BALANCER_DISCOVERY", "127.0.0.1:1")
+        .output()
+        .expect("runs");
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(1));
+    assert!(
+        said.contains("trace.dir: ") && said.contains(&Path::new("file/t").display().to_string()),
+        "{said}"
+    );
+    std::fs::remove_dir_all(&dir).expect("removed");
+}
