Merged traces are read once for all sources, in bounded memory; log test and docs lint right

Change: a file's blocks go to all of its runs at once, and a file is read on only while a run may have an earlier step in it. The link names the module.

--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -1,6 +1,6 @@
 //! Trace files: what a broker was told and what it decided, step by step, with the reasons.
 //!
-//! [`write`] and [`read`] are the format (`docs/design/trace.md`), [`recorder`] writes it beside a running
+//! [`mod@write`] and [`read`] are the format (`docs/design/trace.md`), [`recorder`] writes it beside a running
 //! broker, and the rest are the tools of `badgergauge trace`. What is decided here is in modules without I/O:
 //! [`retain`], [`align`], [`replay`], [`sample`], [`track`].
 
--- a/crates/trace/src/merge.rs
+++ b/crates/trace/src/merge.rs
@@ -1,13 +1,15 @@
 //! Many files as one stream: every step of every run exactly once, in the order of time, however the files
 //! overlap. A run's own order is never changed. One block of each file that is being read is held.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 use std::fmt;
 use std::fs::File;
 use std::io::{self, BufReader};
 use std::ops::Range;
 use std::path::{Path, PathBuf};
 
+use badgergauge_core::Time;
+
 use crate::header::Header;
 use crate::read::{End, OpenError, Reader};
 use crate::record::{Record, Servers, Source};
@@ -40,6 +42,10 @@
 
 impl std::error::Error for MergeError {}
 
+/// A file is in the order of time but for this much, in nanoseconds: what clocks that were put right by
+/// another merge may have moved. So much of it is held at the most beyond what is given.
+const SLACK: i64 = 10_000_000_000;
+
 type FileReader = Reader<BufReader<File>>;
 
 /// Opens a trace file.
@@ -81,17 +87,28 @@
     Ok(files)
 }
 
-/// One source of one file, on its way through it.
-struct Cursor {
+/// A file on its way. It is opened when it is first needed, and closed at its end.
+struct Input {
     path: PathBuf,
-    /// The source's index in the file.
-    own: u32,
+    reader: Option<FileReader>,
+    over: bool,
+    /// Whether its blocks' heads have the same times as the stream.
+    timed: bool,
+    /// The Unix time up to which it has been read; before that, when its first block begins.
+    time: i64,
+    /// Bytes in all, and read so far.
+    length: u64,
+    read: u64,
+    /// For each of its sources, the run and which of its cursors is this file's.
+    cursors: Vec<(usize, usize)>,
+}
+
+/// One source of one file: what of it was read and not given yet.
+struct Cursor {
+    file: usize,
     /// The run's next step is no earlier than this.
     bound: u64,
-    reader: Option<FileReader>,
-    /// Records read and not given yet.
     held: VecDeque<Record>,
-    over: bool,
 }
 
 /// One run of one broker, from all the files that tell of it.
@@ -117,15 +134,13 @@
 /// Many files as one stream.
 pub struct Merged {
     header: Header,
+    inputs: Vec<Input>,
     runs: Vec<Run>,
     servers: Servers,
     notices: BTreeSet<(PathBuf, String)>,
     window: Range<i64>,
     /// Steps that were in more than one file.
     repeated: u64,
-    /// Bytes read, and in all.
-    read: BTreeMap<(PathBuf, u32), u64>,
-    total: u64,
 }
 
 impl Merged {
@@ -137,8 +152,8 @@
     pub fn open(files: &[PathBuf], window: Range<i64>) -> Result<Self, MergeError> {
         let mut header = Header::new(Vec::new(), false);
         let mut runs: Vec<Run> = Vec::new();
+        let mut inputs: Vec<Input> = Vec::new();
         let mut first: Option<(PathBuf, bool)> = None;
-        let mut total = 0;
         for path in files {
             let mut reader = open(path)?;
             let masked = reader.header().masked;
@@ -151,34 +166,39 @@
                 Some(_) => {}
             }
             header.masked = masked;
-            total += reader.length() * reader.header().sources.len() as u64;
-            let bound = reader.first_sequence().map_err(|error| MergeError::Io(path.clone(), error))?;
-            for (own, source) in reader.header().sources.iter().enumerate() {
+            let begins = reader.begins().map_err(|error| MergeError::Io(path.clone(), error))?;
+            let (bound, time) = begins;
+            let (mut cursors, mut timed) = (Vec::new(), true);
+            for source in &reader.header().sources {
                 let index = header.sources.iter().position(|known| known.is_run(source));
                 let index = index.unwrap_or_else(|| {
                     header.sources.push(source.clone());
                     runs.push(Run { cursors: Vec::new(), last: 0, next: None, time: i64::MIN });
                     runs.len() - 1
                 });
-                runs[index].cursors.push(Cursor {
-                    path: path.clone(),
-                    own: own as u32,
-                    bound,
-                    reader: None,
-                    held: VecDeque::new(),
-                    over: false,
-                });
+                timed &= header.sources[index].unix(Time(0)) == source.unix(Time(0));
+                cursors.push((index, runs[index].cursors.len()));
+                runs[index].cursors.push(Cursor { file: inputs.len(), bound, held: VecDeque::new() });
             }
+            inputs.push(Input {
+                path: path.clone(),
+                reader: None,
+                over: false,
+                timed,
+                time,
+                length: reader.length(),
+                read: 0,
+                cursors,
+            });
         }
         Ok(Merged {
             header,
+            inputs,
             runs,
             servers: Servers::new(),
             notices: BTreeSet::new(),
             window,
             repeated: 0,
-            read: BTreeMap::new(),
-            total,
         })
     }
 
@@ -192,6 +212,11 @@
         for (source, offset) in self.header.sources.iter_mut().zip(offsets) {
             source.moved = source.moved.saturating_add(*offset);
         }
+        for input in &mut self.inputs {
+            let moved = input.cursors.iter().filter_map(|(run, _)| offsets.get(*run)).min();
+            input.time = input.time.saturating_add(*moved.unwrap_or(&0));
+            input.timed = false;
+        }
     }
 
     /// The servers named so far.
@@ -212,7 +237,8 @@
 
     /// How far reading has come, of how much, in bytes.
     pub fn progress(&self) -> (u64, u64) {
-        (self.read.values().sum(), self.total)
+        let sum = |of: fn(&Input) -> u64| self.inputs.iter().map(of).sum();
+        (sum(|input| input.read), sum(|input| input.length))
     }
 
     /// The next step; none at the end.
@@ -221,92 +247,101 @@
     ///
     /// When a file fails.
     pub fn next_record(&mut self) -> Result<Option<Record>, MergeError> {
-        let mut first: Option<(i64, usize)> = None;
-        for index in 0..self.runs.len() {
-            if self.runs[index].next.is_none() {
-                self.fill(index)?;
+        loop {
+            let mut first: Option<(i64, usize)> = None;
+            let mut wanted: Option<(i64, usize)> = None;
+            for index in 0..self.runs.len() {
+                let from = if self.runs[index].next.is_none() { self.fill(index)? } else { None };
+                wanted = wanted.into_iter().chain(from).min();
+                let time = self.runs[index].next.as_ref().map(|(time, _)| (*time, index));
+                first = first.into_iter().chain(time).min();
             }
-            if let Some((time, _)) = &self.runs[index].next
-                && first.is_none_or(|(least, _)| *time < least)
-            {
-                first = Some((*time, index));
+            match (first, wanted) {
+                // A run of which nothing is held may still have an earlier step in a file that is behind.
+                (Some((time, _)), Some((from, file))) if from < time.saturating_add(SLACK) => {
+                    self.read(file)?
+                }
+                (None, Some((_, file))) => self.read(file)?,
+                (None, None) => return Ok(None),
+                (Some((_, index)), _) => {
+                    return Ok(self.runs[index].next.take().map(|(_, record)| record));
+                }
             }
         }
-        let Some((_, index)) = first else { return Ok(None) };
-        Ok(self.runs[index].next.take().map(|(_, record)| record))
     }
 
-    /// Reads a run's next step.
-    fn fill(&mut self, index: usize) -> Result<(), MergeError> {
-        let Merged { header, runs, servers, notices, window, repeated, read, .. } = self;
-        let run = &mut runs[index];
+    /// Finds a run's next step. Where nothing of it is held, gives the file that may have it, and from when on.
+    fn fill(&mut self, index: usize) -> Result<Option<(i64, usize)>, MergeError> {
         loop {
-            // The file whose next step is the earliest; those not begun yet wait at what their head says.
-            let next =
-                run.cursors.iter_mut().filter(|c| !c.over).min_by_key(|c| (c.bound, c.held.is_empty()));
-            let Some(cursor) = next else { return Ok(()) };
-            let Some(mut record) = cursor.held.pop_front() else {
-                cursor.read(servers, notices, window)?;
-                let done = cursor.reader.as_ref().map(Reader::offset);
-                if let Some(done) = done {
-                    read.insert((cursor.path.clone(), cursor.own), done);
-                }
-                continue;
+            let Merged { header, inputs, runs, .. } = self;
+            let (run, source) = (&mut runs[index], &header.sources[index]);
+            let held = run.cursors.iter().enumerate().filter(|(_, cursor)| !cursor.held.is_empty());
+            let ready = held.min_by_key(|(_, cursor)| cursor.bound).map(|(at, cursor)| (at, cursor.bound));
+            let behind = run.cursors.iter().filter(|c| c.held.is_empty() && !inputs[c.file].over);
+            let Some((at, sequence)) = ready else {
+                return Ok(behind.map(|cursor| (inputs[cursor.file].time, cursor.file)).min());
             };
-            cursor.bound = record.sequence + 1;
+            // Another file may hold an earlier step of the run, if it is not as far as this one is.
+            let time = run.cursors[at].held.front().map_or(0, |record| source.unix(record.time));
+            let earlier =
+                behind.filter(|c| c.bound <= sequence && inputs[c.file].time < time.saturating_add(SLACK));
+            if let Some(file) = earlier.map(|cursor| cursor.file).next() {
+                self.read(file)?;
+                continue;
+            }
+            let cursor = &mut run.cursors[at];
+            let Some(mut record) = cursor.held.pop_front() else { continue };
+            cursor.bound = cursor.held.front().map_or(record.sequence + 1, |next| next.sequence);
             if record.sequence <= run.last {
-                *repeated += 1;
+                self.repeated += 1;
                 continue;
             }
             run.last = record.sequence;
             record.source = index as u32;
-            let unix = header.sources[index].unix(record.time);
-            run.time = run.time.max(unix);
-            if run.time < window.start || run.time >= window.end {
-                continue;
+            run.time = run.time.max(time);
+            if self.window.contains(&run.time) {
+                run.next = Some((run.time, record));
+                return Ok(None);
             }
-            run.next = Some((run.time, record));
-            return Ok(());
         }
     }
-}
 
-impl Cursor {
-    /// Reads the next block, or comes to the end.
-    fn read(
-        &mut self,
-        servers: &mut Servers,
-        notices: &mut BTreeSet<(PathBuf, String)>,
-        window: &Range<i64>,
-    ) -> Result<(), MergeError> {
-        if self.reader.is_none() {
-            let mut reader = open(&self.path)?;
-            // What merging has moved is in the sources' times, and not in those of the blocks' heads.
-            if reader.header().sources.iter().all(|source| source.moved == 0) {
-                reader.only(window.clone());
+    /// Reads a file's next block, for all of its sources, or comes to its end. A file of several sources is in
+    /// the order of time, so what the others hold of it is soon given.
+    fn read(&mut self, file: usize) -> Result<(), MergeError> {
+        let input = &mut self.inputs[file];
+        if input.reader.is_none() {
+            let mut reader = open(&input.path)?;
+            if input.timed {
+                reader.only(self.window.clone());
             }
-            self.reader = Some(reader);
+            input.reader = Some(reader);
         }
-        let Some(reader) = &mut self.reader else { return Ok(()) };
-        let lost = |error| MergeError::Io(self.path.clone(), error);
-        let Some(records) = reader.next_block().map_err(lost)? else {
+        let Some(reader) = &mut input.reader else { return Ok(()) };
+        let records = reader.next_block().map_err(|error| MergeError::Io(input.path.clone(), error))?;
+        input.read = reader.offset();
+        let Some(records) = records else {
             let mut note = |what: String| {
-                notices.insert((self.path.clone(), what));
+                self.notices.insert((input.path.clone(), what));
             };
             reader.damage().iter().for_each(|damage| note(damage.to_string()));
             if let Some(end) = reader.end().filter(|end| *end != End::Whole) {
                 note(end.to_string());
             }
-            self.over = true;
-            self.reader = None;
+            (input.over, input.reader) = (true, None);
             return Ok(());
         };
         for (id, name) in reader.servers() {
-            servers.entry(*id).or_insert_with(|| name.clone());
+            self.servers.entry(*id).or_insert_with(|| name.clone());
         }
-        self.held.extend(records.into_iter().filter(|record| record.source == self.own));
-        if let Some(record) = self.held.front() {
-            self.bound = self.bound.max(record.sequence);
+        for record in records {
+            let (run, cursor) = input.cursors[record.source as usize];
+            input.time = input.time.max(self.header.sources[run].unix(record.time));
+            let cursor = &mut self.runs[run].cursors[cursor];
+            if cursor.held.is_empty() {
+                cursor.bound = cursor.bound.max(record.sequence);
+            }
+            cursor.held.push_back(record);
         }
         Ok(())
     }
--- a/crates/trace/src/read.rs
+++ b/crates/trace/src/read.rs
@@ -247,15 +247,18 @@
         self.damage.clear();
     }
 
-    /// The lowest sequence number that the first block's head gives, or 0 where that can't be told.
+    /// The lowest sequence number and the earliest Unix time that the first block's head gives; the least there
+    /// are where that can't be told.
     ///
     /// # Errors
     ///
     /// When the file can't be read from.
-    pub fn first_sequence(&mut self) -> io::Result<u64> {
+    pub fn begins(&mut self) -> io::Result<(u64, i64)> {
         self.input.seek(SeekFrom::Start(self.start))?;
         let head = read_up_to(&mut self.input, frame::FRAME_HEAD as u64)?;
-        Ok(Frame::decode(&head).filter(|frame| !frame.footer).map_or(0, |frame| frame.sequences.0))
+        Ok(Frame::decode(&head)
+            .filter(|frame| !frame.footer)
+            .map_or((0, i64::MIN), |frame| (frame.sequences.0, frame.times.0)))
     }
 
     /// The records of the next whole block; none at the end.
--- a/src/log.rs
+++ b/src/log.rs
@@ -136,7 +136,8 @@
                 tracing::info!("line {line}");
             }
         });
-        assert!((LINES - 8..=LINES).contains(&guard.lost()), "{}", guard.lost());
+        // One line may be with the thread already, or none.
+        assert!((LINES..=LINES + 1).contains(&guard.lost()), "{}", guard.lost());
         drop(open);
         assert_eq!(lines.recv().as_deref(), Ok("badgergauge: warning: two\\nlines server=s-1 open=3\n"));
         assert_eq!(lines.recv().as_deref(), Ok("badgergauge: line 0\n"));
