Traces: one reader of frames, one loop over a stream, one list of what is wrong with a file

Cause: reading the change over showed the same head-and-payload check three times, the same loop with progress four times, the words on damage gathered in three places; explain took note of each record twice; Core::take made a name before it knew whether there was room; some state was never read.

Change: Reader::head_at, payload and faults, tools::each_record, Teller::lines; the name is made once the query is taken; dead fields and methods are gone. Nothing behaves otherwise, and the tests keep their assertions.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -263,11 +263,10 @@
     ///
     /// When it is not taken.
     pub fn take(&mut self, now: Time, query: NewQuery, ticket: Ticket) -> Result<QueryId, NotTaken> {
-        let name: Arc<str> = query.name.into();
         let why = if self.queries.len() + self.parts.len() >= self.settings.max_open {
             Some(NotTaken::Full)
         } else {
-            self.names.contains_key(&name).then_some(NotTaken::NameInUse)
+            self.names.contains_key(query.name.as_str()).then_some(NotTaken::NameInUse)
         };
         if let Some(why) = why {
             if let Some(observed) = &mut self.observed {
@@ -293,6 +292,7 @@
             self.parts.insert(part, PartEntry { query: id, index, attempts: 0 });
             parts.push(OpenPart { id: part, shard, value: None });
         }
+        let name: Arc<str> = query.name.into();
         self.names.insert(name.clone(), id);
         let idempotency: Option<Arc<str>> = query.idempotency.map(Into::into);
         if let Some(observed) = &mut self.observed {
--- a/crates/synth/src/world.rs
+++ b/crates/synth/src/world.rs
@@ -130,7 +130,6 @@
 }
 
 struct Broker<W: Write> {
-    name: String,
     run: u64,
     core: Core,
     last_step: u64,
@@ -140,7 +139,6 @@
     clients: HashMap<u64, Client>,
     /// Work of parts out, by attempt: what the model servers are told.
     works: HashMap<badgergauge_core::PartId, u64>,
-    sequence: u64,
 }
 
 /// Runs a plan; `create` makes the files.
@@ -264,7 +262,6 @@
         self.made.files.push(file);
         self.made.skews.push(off);
         self.brokers[index] = Some(Broker {
-            name,
             run,
             core,
             last_step: 0,
@@ -273,7 +270,6 @@
             servers: Servers::new(),
             clients: HashMap::new(),
             works: HashMap::new(),
-            sequence: 0,
         });
         // The whole list as it is comes a while after the start.
         let lines = self.lines(0..self.servers.len());
@@ -462,7 +458,6 @@
         if let Some(observed) = broker.core.observed() {
             let (record, names) = from_observed(observed);
             broker.servers.extend(names);
-            broker.sequence = record.sequence;
             if let Some(writer) = &mut broker.writer {
                 writer.add(&record, &broker.servers)?;
             }
@@ -551,7 +546,6 @@
                     self.made.ends[4] += 1;
                     self.again(client, 200 * MS);
                 }
-                let _ = broker.name;
                 self.due.put(self.now + self.rng.random_range(300..1500) * MS, Due::BrokerBack(index));
             }
             return Ok(());
--- a/crates/trace/src/align.rs
+++ b/crates/trace/src/align.rs
@@ -47,8 +47,8 @@
 pub struct Sightings {
     versions: Vec<BTreeMap<u64, i64>>,
     repeats: Vec<Repeat>,
-    /// Idempotency keys of tries under way, by source and query.
-    open: HashMap<(usize, QueryId), (String, bool)>,
+    /// Idempotency keys of first tries under way, by source and query.
+    open: HashMap<(usize, QueryId), String>,
     opened: VecDeque<(usize, QueryId)>,
     /// First tries that have ended, by idempotency key, and repeats that were taken.
     ended: HashMap<String, (usize, i64)>,
@@ -85,7 +85,7 @@
                 self.repeated.entry(key.clone()).or_default().push((source, unix));
                 self.keep(key);
             } else {
-                self.open.insert((source, query), (key, repeated));
+                self.open.insert((source, query), key);
                 self.opened.push_back((source, query));
                 if self.opened.len() > KEPT
                     && let Some(oldest) = self.opened.pop_front()
@@ -103,7 +103,7 @@
             _ => None,
         });
         for query in gone.chain(told) {
-            let Some((key, _)) = self.open.remove(&(source, query)) else { continue };
+            let Some(key) = self.open.remove(&(source, query)) else { continue };
             for effect in self.repeated.get(&key).into_iter().flatten().filter(|e| e.0 != source) {
                 self.repeats.push(Repeat { cause: (source, unix), effect: *effect });
             }
--- a/crates/trace/src/merge.rs
+++ b/crates/trace/src/merge.rs
@@ -11,7 +11,7 @@
 use badgergauge_core::Time;
 
 use crate::header::Header;
-use crate::read::{End, OpenError, Reader};
+use crate::read::{OpenError, Reader};
 use crate::record::{Record, Servers, Source};
 
 /// Why files can't be read together.
@@ -321,13 +321,7 @@
         let records = reader.next_block().map_err(|error| MergeError::Io(input.path.clone(), error))?;
         input.read = reader.offset();
         let Some(records) = records else {
-            let mut note = |what: String| {
-                self.notices.insert((input.path.clone(), what));
-            };
-            reader.damage().iter().for_each(|damage| note(damage.to_string()));
-            if let Some(end) = reader.end().filter(|end| *end != End::Whole) {
-                note(end.to_string());
-            }
+            self.notices.extend(reader.faults().into_iter().map(|what| (input.path.clone(), what)));
             (input.over, input.reader) = (true, None);
             return Ok(());
         };
--- a/crates/trace/src/read.rs
+++ b/crates/trace/src/read.rs
@@ -241,10 +241,24 @@
         self.window = window;
     }
 
-    /// Goes back to the first block.
-    pub fn rewind(&mut self) {
-        (self.offset, self.end) = (self.start, None);
-        self.damage.clear();
+    /// All that is wrong with what was read so far, in words; nothing where the file is whole.
+    pub fn faults(&self) -> Vec<String> {
+        let end = self.end.filter(|end| *end != End::Whole).map(|end| end.to_string());
+        self.damage.iter().map(ToString::to_string).chain(end).collect()
+    }
+
+    /// The sound head of a frame that stands at an offset, and whatever bytes of one are there.
+    fn head_at(&mut self, at: u64) -> io::Result<(Option<Frame>, usize)> {
+        self.input.seek(SeekFrom::Start(at))?;
+        let head = read_up_to(&mut self.input, frame::FRAME_HEAD as u64)?;
+        Ok((Frame::decode(&head), head.len()))
+    }
+
+    /// The payload of a frame whose head stands at an offset; none where it is damaged or short.
+    fn payload(&mut self, at: u64, frame: &Frame) -> io::Result<Option<Vec<u8>>> {
+        self.input.seek(SeekFrom::Start(at + frame::FRAME_HEAD as u64))?;
+        let packed = read_up_to(&mut self.input, frame.packed.into())?;
+        Ok((crc32fast::hash(&packed) == frame.sum).then_some(packed))
     }
 
     /// The lowest sequence number and the earliest Unix time that the first block's head gives; the least there
@@ -254,11 +268,9 @@
     ///
     /// When the file can't be read from.
     pub fn begins(&mut self) -> io::Result<(u64, i64)> {
-        self.input.seek(SeekFrom::Start(self.start))?;
-        let head = read_up_to(&mut self.input, frame::FRAME_HEAD as u64)?;
-        Ok(Frame::decode(&head)
-            .filter(|frame| !frame.footer)
-            .map_or((0, i64::MIN), |frame| (frame.sequences.0, frame.times.0)))
+        let (frame, _) = self.head_at(self.start)?;
+        let block = frame.filter(|frame| !frame.footer);
+        Ok(block.map_or((0, i64::MIN), |frame| (frame.sequences.0, frame.times.0)))
     }
 
     /// The records of the next whole block; none at the end.
@@ -269,16 +281,15 @@
     pub fn next_block(&mut self) -> io::Result<Option<Vec<Record>>> {
         while self.end.is_none() {
             let at = self.offset;
-            self.input.seek(SeekFrom::Start(at))?;
-            let head = read_up_to(&mut self.input, frame::FRAME_HEAD as u64)?;
-            if head.is_empty() {
+            let (frame, bytes) = self.head_at(at)?;
+            if bytes == 0 {
                 self.end = Some(End::Open);
-            } else if let Some(frame) = Frame::decode(&head) {
+            } else if let Some(frame) = frame {
                 if let Some(records) = self.frame(at, &frame)? {
                     return Ok(Some(records));
                 }
-            } else if head.len() < frame::FRAME_HEAD {
-                self.end = Some(End::Half { at, bytes: head.len() as u64 });
+            } else if bytes < frame::FRAME_HEAD {
+                self.end = Some(End::Half { at, bytes: bytes as u64 });
             } else {
                 let next = self.find_frame(at + 1)?.unwrap_or(self.length);
                 let why = "a block's head is damaged";
@@ -301,9 +312,7 @@
         if frame.footer {
             let trailer = read_at::<{ frame::TRAILER_LEN }>(&mut self.input, next)?;
             let closed = next + frame::TRAILER_LEN as u64 == self.length;
-            self.input.seek(SeekFrom::Start(next - u64::from(frame.packed)))?;
-            let packed = read_up_to(&mut self.input, frame.packed.into())?;
-            let closed = closed && crc32fast::hash(&packed) == frame.sum;
+            let closed = closed && self.payload(at, frame)?.is_some();
             let sound = closed && trailer.and_then(|t| frame::read_trailer(&t)) == Some(at);
             self.end = Some(if sound { End::Whole } else { End::Tail { at } });
             return Ok(None);
@@ -311,12 +320,11 @@
         if frame.times.1 < self.window.start || frame.times.0 >= self.window.end {
             return Ok(None);
         }
-        let packed = read_up_to(&mut self.input, frame.packed.into())?;
         let damaged = |why| Damage { bytes: at..next, why, sequences: Some(frame.sequences) };
-        if crc32fast::hash(&packed) != frame.sum {
+        let Some(packed) = self.payload(at, frame)? else {
             self.damage.push(damaged("a block is damaged"));
             return Ok(None);
-        }
+        };
         let block = unpack(&packed, frame.raw).and_then(|raw| wire::Block::decode(&raw[..]).ok());
         let sources = self.header.sources.len();
         let records = block.map(|block| codec::decode(block, sources, &mut self.servers));
@@ -361,13 +369,9 @@
         if footer < self.start || footer >= at {
             return Ok(None);
         }
-        self.input.seek(SeekFrom::Start(footer))?;
-        let head = read_up_to(&mut self.input, frame::FRAME_HEAD as u64)?;
-        let Some(frame) = Frame::decode(&head).filter(|frame| frame.footer) else { return Ok(None) };
-        let packed = read_up_to(&mut self.input, frame.packed.into())?;
-        if crc32fast::hash(&packed) != frame.sum {
-            return Ok(None);
-        }
+        let (frame, _) = self.head_at(footer)?;
+        let Some(frame) = frame.filter(|frame| frame.footer) else { return Ok(None) };
+        let Some(packed) = self.payload(footer, &frame)? else { return Ok(None) };
         let raw = unpack(&packed, frame.raw);
         let footer = raw.and_then(|raw| wire::Footer::decode(&raw[..]).ok());
         Ok(footer.map(|footer| Index { entries: footer.blocks }))
@@ -380,9 +384,8 @@
     /// When the file can't be read from.
     pub fn block_at(&mut self, offset: u64) -> io::Result<Vec<Record>> {
         let before = (self.offset, self.end);
-        self.input.seek(SeekFrom::Start(offset))?;
-        let head = read_up_to(&mut self.input, frame::FRAME_HEAD as u64)?;
-        let records = match Frame::decode(&head).filter(|frame| !frame.footer) {
+        let (frame, _) = self.head_at(offset)?;
+        let records = match frame.filter(|frame| !frame.footer) {
             Some(frame) => self.frame(offset, &frame)?,
             None => None,
         };
@@ -403,11 +406,6 @@
 }
 
 impl Index {
-    /// The blocks.
-    pub fn blocks(&self) -> &[wire::Entry] {
-        &self.entries
-    }
-
     /// Where blocks are that a query of this name may have been taken in.
     pub fn named<'a>(&'a self, name: &str) -> impl Iterator<Item = u64> + 'a {
         let hash = name_hash(name);
--- a/crates/trace/src/story.rs
+++ b/crates/trace/src/story.rs
@@ -165,14 +165,19 @@
         &self.tracker
     }
 
-    /// Takes note of a record without telling it.
+    /// Takes note of a record, which must come before its lines.
     pub fn see(&mut self, record: &Record) {
         record.events.iter().for_each(|event| self.tracker.see(record.time, event));
     }
 
-    /// The lines of a record, in order.
+    /// Takes note of a record and gives its lines.
     pub fn tell(&mut self, record: &Record, source: &Source, servers: &Servers) -> Vec<Line> {
         self.see(record);
+        self.lines(record, source, servers)
+    }
+
+    /// The lines of a record that was taken note of, in order.
+    pub fn lines(&self, record: &Record, source: &Source, servers: &Servers) -> Vec<Line> {
         let mut lines = Vec::new();
         let mut plain = |text: String, json: Value, reasons: Vec<&'static str>| {
             lines.push(Line { text, json, query: None, class: None, servers: vec![], reasons });
--- a/crates/trace/src/tools.rs
+++ b/crates/trace/src/tools.rs
@@ -15,7 +15,7 @@
 use crate::record::{Record, Servers, Source};
 use crate::replay::{Difference, Replay, Unverifiable};
 use crate::story::{Line, Teller};
-use crate::track::query_of_action;
+use crate::track::{query_of_action, query_of_event};
 use crate::write::Writer;
 
 /// Why a tool has not done what it was asked.
@@ -50,6 +50,28 @@
 /// Called now and then with how far reading has come.
 pub type Progress<'a> = &'a mut dyn FnMut(u64, u64);
 
+/// Gives each record of a stream to `take`, and the stream with it.
+///
+/// # Errors
+///
+/// When the stream can't be read, or `take` says so.
+pub fn each_record(
+    merged: &mut Merged,
+    progress: Progress,
+    mut take: impl FnMut(&Merged, Record) -> Result<(), ToolError>,
+) -> Result<(), ToolError> {
+    let mut steps = 0_u64;
+    while let Some(record) = merged.next_record()? {
+        take(merged, record)?;
+        steps += 1;
+        if steps.is_multiple_of(4096) {
+            let (done, all) = merged.progress();
+            progress(done, all);
+        }
+    }
+    Ok(())
+}
+
 /// What was written.
 #[derive(Clone, Debug, Default)]
 pub struct Written {
@@ -106,15 +128,11 @@
     let lost = |error| ToolError::Write(path.to_owned(), error);
     let mut writer = Writer::new(file, merged.header().clone()).map_err(lost)?;
     let mut written = Written::default();
-    while let Some(record) = merged.next_record()? {
+    each_record(&mut merged, progress, |merged, record| {
         written.steps += 1;
         written.decisions += record.actions.len() as u64;
-        writer.add(&record, merged.servers()).map_err(lost)?;
-        if written.steps.is_multiple_of(4096) {
-            let (done, all) = merged.progress();
-            progress(done, all);
-        }
-    }
+        writer.add(&record, merged.servers()).map_err(lost)
+    })?;
     written.repeated = merged.repeated();
     written.notices = merged.notices();
     output.done(writer.finish().map_err(lost)?)?;
@@ -139,16 +157,11 @@
 /// When it can't be read.
 pub fn align(mut merged: Merged, progress: Progress) -> Result<Alignment, ToolError> {
     let mut sightings = Sightings::new(merged.header().sources.len());
-    let mut steps = 0_u64;
-    while let Some(record) = merged.next_record()? {
+    each_record(&mut merged, progress, |merged, record| {
         let source = record.source as usize;
         sightings.see(source, merged.header().sources[source].unix(record.time), &record);
-        steps += 1;
-        if steps.is_multiple_of(4096) {
-            let (done, all) = merged.progress();
-            progress(done, all);
-        }
-    }
+        Ok(())
+    })?;
     let offsets = sightings.offsets();
     let nanos: Vec<i64> = offsets.iter().map(|offset| offset.nanos).collect();
     let against_cause = against_cause(&nanos, sightings.repeats());
@@ -182,11 +195,8 @@
         }
     }
     let notice = |what: String| Notice { path: from.to_owned(), what };
-    written.notices.extend(reader.damage().iter().map(|damage| notice(damage.to_string())));
+    written.notices = reader.faults().into_iter().map(notice).collect();
     let end = reader.end().unwrap_or(End::Open);
-    if end != End::Whole {
-        written.notices.push(notice(end.to_string()));
-    }
     output.done(writer.finish().map_err(lost)?)?;
     Ok((written, end))
 }
@@ -224,26 +234,20 @@
         let verified = Verified { source: source.clone(), decisions: 0, difference: None, stopped };
         runs.push((verified, replay));
     }
-    let mut steps = 0_u64;
-    while let Some(record) = merged.next_record()? {
+    each_record(&mut merged, progress, |_, record| {
         let (verified, replay) = &mut runs[record.source as usize];
-        if let Some(going) = replay {
-            match going.step(&record, reasons) {
-                Ok(None) => {}
-                Ok(difference) => verified.difference = difference,
-                Err(why) => verified.stopped = Some(why),
-            }
-            verified.decisions = going.decisions();
-            if verified.difference.is_some() || verified.stopped.is_some() {
-                *replay = None;
-            }
+        let Some(going) = replay else { return Ok(()) };
+        match going.step(&record, reasons) {
+            Ok(None) => {}
+            Ok(difference) => verified.difference = difference,
+            Err(why) => verified.stopped = Some(why),
         }
-        steps += 1;
-        if steps.is_multiple_of(4096) {
-            let (done, all) = merged.progress();
-            progress(done, all);
+        verified.decisions = going.decisions();
+        if verified.difference.is_some() || verified.stopped.is_some() {
+            *replay = None;
         }
-    }
+        Ok(())
+    })?;
     let runs = runs.into_iter().map(|(verified, _)| verified).collect();
     Ok((runs, merged.notices(), merged.servers().clone()))
 }
@@ -334,19 +338,15 @@
                 let teller = tellers.entry(record.source).or_default();
                 teller.see(record);
                 let about = |id: &QueryId| own.contains(id);
-                let touched = record.named.iter().any(|named| about(&named.query))
-                    || record.events.iter().any(|e| {
-                        crate::track::query_of_event(teller.tracker(), e).is_some_and(|id| about(&id))
-                    })
-                    || record
-                        .actions
-                        .iter()
-                        .any(|a| query_of_action(teller.tracker(), a).is_some_and(|id| about(&id)));
+                let tracker = teller.tracker();
+                let touched = record.events.iter().filter_map(|event| query_of_event(tracker, event));
+                let decided = record.actions.iter().filter_map(|action| query_of_action(tracker, action));
+                let touched = touched.chain(decided).any(|id| about(&id));
                 if !touched {
                     return;
                 }
                 let unix = source.unix(record.time);
-                for (index, line) in teller.tell(record, source, reader.servers).into_iter().enumerate() {
+                for (index, line) in teller.lines(record, source, reader.servers).into_iter().enumerate() {
                     if line.query.as_ref().is_some_and(about) {
                         let at = (unix, source.broker.clone(), source.run, record.sequence, index);
                         told.insert(at, line);
@@ -412,15 +412,11 @@
         }
         effort.scanned += 1;
     }
-    let mut note = |what: String| {
+    for what in reader.faults() {
         let notice = Notice { path: path.to_owned(), what };
         if !notices.contains(&notice) {
             notices.push(notice);
         }
-    };
-    reader.damage().iter().for_each(|damage| note(damage.to_string()));
-    if let Some(end) = reader.end().filter(|end| *end != End::Whole) {
-        note(end.to_string());
     }
     Ok(())
 }
--- a/crates/trace/tests/recorder.rs
+++ b/crates/trace/tests/recorder.rs
@@ -113,6 +113,16 @@
     servers().into_iter().collect()
 }
 
+/// Offers steps after `last` until `done` says so, and gives the last one.
+fn offer_until(recorder: &mut Recorder, mut last: u64, done: impl Fn(&Recorder) -> bool) -> u64 {
+    while !done(recorder) {
+        last += 1;
+        recorder.offer(bare(last), names());
+        std::thread::yield_now();
+    }
+    last
+}
+
 /// Every step from the first to the last is held or named as missing, and none is both.
 fn accounted(steps: &[u64], missing: &[u64], last: u64) {
     let mut all: Vec<u64> = steps.iter().chain(missing).copied().collect();
@@ -165,12 +175,8 @@
         disk.0.lock().expect("sound").room = None;
         // Offered until the disk is tried again, and a step is written.
         let written = recorder.counts().written.load(Ordering::Relaxed);
-        let mut last = 400;
-        while recorder.counts().written.load(Ordering::Relaxed) <= written {
-            last += 1;
-            recorder.offer(bare(last), names());
-            std::thread::yield_now();
-        }
+        let more = |recorder: &Recorder| recorder.counts().written.load(Ordering::Relaxed) > written;
+        let last = offer_until(&mut recorder, 400, more);
         assert!(recorder.close());
         let (steps, missing, why) = disk.held();
         assert!(why.contains("disk: "), "{why}");
@@ -185,12 +191,7 @@
     let disk = Memory::default();
     disk.0.lock().expect("sound").fails_to_create = 1;
     let mut recorder = Recorder::start(plan(1 << 30, 1 << 40, 64), Box::new(disk.clone())).expect("starts");
-    let mut last = 0;
-    while disk.0.lock().expect("sound").files.is_empty() {
-        last += 1;
-        recorder.offer(bare(last), names());
-        std::thread::yield_now();
-    }
+    offer_until(&mut recorder, 0, |_| !disk.0.lock().expect("sound").files.is_empty());
     assert!(recorder.close());
     let (steps, missing, why) = disk.held();
     assert!(why.contains("disk: "), "{why}");
--- a/src/bin/badgergauge/trace.rs
+++ b/src/bin/badgergauge/trace.rs
@@ -622,15 +622,10 @@
     let sources = merged.header().sources.clone();
     let bar = Bar::new("summing up");
     let mut summing = Summing::new(&sources);
-    let mut steps = 0_u64;
-    while let Some(record) = merged.next_record()? {
+    tools::each_record(&mut merged, &mut |done, all| bar.at(done, all), |_, record| {
         summing.add(&record, &sources[record.source as usize]);
-        steps += 1;
-        if steps.is_multiple_of(4096) {
-            let (done, all) = merged.progress();
-            bar.at(done, all);
-        }
-    }
+        Ok(())
+    })?;
     drop(bar);
     let summary = summing.finish(merged.servers());
     let mut out = io::stdout().lock();
