A part given up is sent again only 50 ms after the word of it was written

At fault: Backend::give_up told the core Cancelled at once, and drop_link told ConnectionLost at once also where this broker closed the connection; the module then repeats in the next step, before the server can have read the word.

Change: outcomes of attempts that this broker gives up are held until 50 ms (the protocol's slack on every time limit) after the word is written: c written whole, or the close. Where the server or the network ended the connection nothing is held. Test: a_part_given_up_is_over_once_its_server_has_heard_so (fails with the wait at 0).

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -28,6 +28,12 @@
 /// written to one ends as a reset.
 const IDLE_SHARE: f64 = 0.8;
 
+/// How long after word that an attempt is given up has been written (a frame `c`, or this broker's close of
+/// its connection) the attempt counts as over: the slack that the protocol gives every time limit, taken as how
+/// late a server may be found to have read what was written. Until then its part is not sent again: a server
+/// may read the next attempt, on another connection, before that word, and two would be out at once.
+const HEARD_AFTER: Duration = Duration::from_millis(50);
+
 /// A connection may be given up after this part of the shortest aim, where others come up sooner.
 const SETUP_PART: u32 = 12;
 /// Weights of the newest time in the mean and in the mean deviation, and how many deviations above the mean
@@ -87,6 +93,24 @@
     answered: Time,
 }
 
+/// The outcome of an attempt that was given up, held until its server has heard so.
+struct Held {
+    due: Time,
+    /// The connection that carries the word, and the part's id on it.
+    key: usize,
+    name: String,
+    done: Done,
+}
+
+/// Who ended a connection.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Ended {
+    /// This broker, which closed it.
+    Here,
+    /// Its server or the network: it was reset or closed, or could not be written.
+    Peer,
+}
+
 /// What a frame carries.
 enum Frame {
     Query(Vec<(String, Send)>),
@@ -101,6 +125,11 @@
     written: Option<Time>,
     /// When it was given up: nobody waits for it any more, but its answer may still come.
     abandoned: Option<Time>,
+    /// When the word that it was given up was written whole.
+    told: Option<Time>,
+    /// Parts on the connection, given up or not, when it was given up: at the server's limit, what
+    /// follows waits unread.
+    crowd: usize,
 }
 
 struct Link {
@@ -150,6 +179,15 @@
     setup: SetupTime,
     /// What has ended and has not been taken yet.
     pub done: Vec<Done>,
+    /// The time of the latest call that told it.
+    now: Time,
+    /// Outcomes of attempts that were given up, until their servers have heard so.
+    held: Vec<Held>,
+    /// When the wheel brings the next look at them.
+    held_armed: Option<Time>,
+    /// Parts that may have run, by their id on the wire, whose connection this broker ended: when, and
+    /// whether they had been given up before. Kept for the longest deadline.
+    closed: HashMap<String, (Time, bool, Ended)>,
 }
 
 impl Backend {
@@ -167,6 +205,10 @@
             touched: Vec::new(),
             step: 0,
             done: Vec::new(),
+            now: Time(0),
+            held: Vec::new(),
+            held_armed: None,
+            closed: HashMap::new(),
         }
     }
 
@@ -208,14 +250,19 @@
 
     /// Queues an attempt; it is written by [`Backend::flush`].
     pub fn send(&mut self, net: &mut Net, now: Time, send: Send) {
+        self.now = self.now.max(now);
         let name = format!("{}.{}", send.query, send.shard);
         let Some(key) = self.link_for(net, now, send.server, &name) else {
             self.done.push(Done::Attempt(send.attempt, Verdict::NoConnection, None, LoadReport::default()));
             return;
         };
-        let Some(link) = self.links.get_mut(&key) else { return };
         let (attempt, step) = (send.attempt, self.step);
-        link.parts.insert(name.clone(), Carried { attempt, written: None, abandoned: None });
+        if attempt.1 > 0 {
+            self.look_back(now, &name, key);
+        }
+        let Some(link) = self.links.get_mut(&key) else { return };
+        link.parts
+            .insert(name.clone(), Carried { attempt, written: None, abandoned: None, told: None, crowd: 0 });
         self.attempts.insert(attempt, key);
         let batch = self.settings.module.batch as usize;
         match link.waiting.back_mut() {
@@ -226,6 +273,38 @@
         self.touched.push(key);
     }
 
+    /// Logs a part that goes out again while word that an earlier attempt of it was given up may not have
+    /// reached its server: that word waits to be written, waits behind a full connection, or was written a
+    /// moment ago on another connection. A probe of the rule on second copies; it decides nothing.
+    fn look_back(&mut self, now: Time, name: &str, key: usize) {
+        for (other, link) in &self.links {
+            let Some(part) = link.parts.get(name).filter(|_| *other != key) else { continue };
+            let Some(abandoned) = part.abandoned.filter(|_| part.written.is_some()) else { continue };
+            let told_ms = part.told.map(|told| now.since(told).as_secs_f64() * 1e3);
+            let waiting = link.outbox.len() + link.waiting.len();
+            let crowded = part.crowd >= self.settings.max_streams;
+            tracing::debug!(
+                "again: {name} goes out again {:.3} ms after it was given up; word of that written {}, \
+                 {waiting} frames wait on its connection, {} parts were on it{}",
+                now.since(abandoned).as_secs_f64() * 1e3,
+                told_ms.map_or("not yet".to_string(), |ms| format!("{ms:.3} ms ago")),
+                part.crowd,
+                if crowded { ", at the server's limit" } else { "" },
+            );
+        }
+        if let Some((at, abandoned, ended)) = self.closed.remove(name) {
+            tracing::debug!(
+                "again: {name} goes out again {:.3} ms after its connection was ended {}{}",
+                now.since(at).as_secs_f64() * 1e3,
+                match ended {
+                    Ended::Here => "here",
+                    Ended::Peer => "by its server or the network",
+                },
+                if abandoned { ", given up before" } else { "" },
+            );
+        }
+    }
+
     /// Sends a probe; its result comes like any other.
     pub fn probe(&mut self, net: &mut Net, now: Time, server: ServerId) {
         match self.link_for(net, now, server, "") {
@@ -245,21 +324,59 @@
 
     /// Stops waiting for an attempt, with this verdict if it may have run.
     pub fn give_up(&mut self, now: Time, attempt: AttemptId, verdict: Verdict) {
+        self.now = self.now.max(now);
         let Some(&key) = self.attempts.get(&attempt) else { return };
         let Some(link) = self.links.get_mut(&key) else { return };
         if link.take_back(attempt, &self.settings) {
             finish(&mut self.attempts, &mut self.done, attempt, Verdict::NotSent);
             return;
         }
+        let crowd = link.parts.len();
         let Some((name, part)) = link.parts.iter_mut().find(|(_, part)| part.attempt == attempt) else {
             return;
         };
         part.abandoned = Some(now);
+        part.crowd = crowd;
         let since = part.written.unwrap_or(now).max(link.heard);
         link.doubted |= now.since(since) >= self.quiet;
         link.waiting.push_back(Frame::Cancel(name.clone()));
+        let name = name.clone();
         self.touched.push(key);
-        finish(&mut self.attempts, &mut self.done, attempt, verdict);
+        if self.attempts.remove(&attempt).is_some() {
+            let done = Done::Attempt(attempt, verdict, None, LoadReport::default());
+            self.held.push(Held { due: now.after(HEARD_AFTER), key, name, done });
+        }
+    }
+
+    /// Tells the outcomes of attempts given up whose servers have heard so by now, and has the wheel bring
+    /// the next look.
+    fn release(&mut self, net: &mut Net, now: Time) {
+        let mut index = 0;
+        while index < self.held.len() {
+            let held = &mut self.held[index];
+            let told = self.links.get(&held.key).and_then(|link| link.parts.get(&held.name)).map(|p| p.told);
+            let heard = match told {
+                // The connection is gone, or the server answered the part.
+                None => held.due,
+                // The word waits behind other frames.
+                Some(None) => now.after(HEARD_AFTER),
+                Some(Some(at)) => held.due.max(at.after(HEARD_AFTER)),
+            };
+            if heard <= now {
+                let held = self.held.swap_remove(index);
+                self.done.push(held.done);
+            } else {
+                held.due = heard;
+                index += 1;
+            }
+        }
+        let next = self.held.iter().map(|held| held.due).min();
+        if let Some(next) = next
+            && self.held_armed.is_none_or(|armed| armed <= now || next < armed)
+        {
+            net.wheel.arm(next, Due::Heard);
+            self.held_armed = Some(next);
+        }
     }
 
     /// Closes the idle connections to a server.
@@ -267,25 +384,28 @@
         let links = self.servers.get(&server).map(|s| s.links.clone()).unwrap_or_default();
         for key in links {
             if self.links.get(&key).is_some_and(Link::is_idle) {
-                self.drop_link(net, key);
+                self.drop_link(net, key, Ended::Here);
             }
         }
     }
 
     /// Writes what was queued; the step's frames are complete with this.
     pub fn flush(&mut self, net: &mut Net, now: Time) {
+        self.now = self.now.max(now);
         self.step += 1;
         for key in std::mem::take(&mut self.touched) {
             let Some(link) = self.links.get_mut(&key).filter(|link| link.connected) else { continue };
             match link.write(now, &self.settings) {
                 Ok(()) => self.ask(net, key, false),
-                Err(_) => self.drop_link(net, key),
+                Err(_) => self.drop_link(net, key, Ended::Peer),
             }
         }
+        self.release(net, now);
     }
 
     /// Does what a connection is ready for. Gives whether the key is one of a connection here.
     pub fn ready(&mut self, net: &mut Net, now: Time, key: usize, readable: bool) -> bool {
+        self.now = self.now.max(now);
         let Some(link) = self.links.get_mut(&key) else { return false };
         let mut result = Ok(());
         if !link.connected {
@@ -321,7 +441,8 @@
         }
         match (result, sound) {
             (Ok(()), true) => self.ask(net, key, true),
-            _ => self.drop_link(net, key),
+            (Err(_), _) => self.drop_link(net, key, Ended::Peer),
+            (Ok(()), false) => self.drop_link(net, key, Ended::Here),
         }
         true
     }
@@ -334,16 +455,18 @@
     /// A frame that was begun should be whole by now: a server writes each at once, so one that stays
     /// unfinished has a length that does not fit, and would swallow all answers behind it.
     pub fn stalled(&mut self, net: &Net, now: Time, key: usize) {
+        self.now = self.now.max(now);
         let limit = now.before(self.stall());
         if self.links.get(&key).and_then(|link| link.begun).is_some_and(|begun| begun <= limit) {
             tracing::warn!("an answer did not end: its connection ends");
-            self.drop_link(net, key);
+            self.drop_link(net, key, Ended::Here);
         }
     }
 
     /// Ends connections that have fallen silent while their servers go on answering on others: what is out on
     /// them will never be answered, and the servers are not to be blamed.
     pub fn look(&mut self, net: &Net, now: Time) {
+        self.now = self.now.max(now);
         let dead = |(key, link): (&usize, &Link)| {
             let since = link.silent_since()?;
             let answered = self.servers.get(&link.server)?.answered;
@@ -352,7 +475,7 @@
         };
         for key in self.links.iter().filter_map(dead).collect::<Vec<_>>() {
             tracing::warn!("a connection to a server that answers has fallen silent: it ends");
-            self.drop_link(net, key);
+            self.drop_link(net, key, Ended::Here);
         }
     }
 
@@ -364,12 +487,13 @@
     /// The time for a connection to come up is over.
     pub fn connect_time_out(&mut self, net: &Net, key: usize) {
         if self.links.get(&key).is_some_and(|link| !link.connected) {
-            self.drop_link(net, key);
+            self.drop_link(net, key, Ended::Here);
         }
     }
 
     /// Closes connections that stood idle for long, or that lead to an address of old.
     pub fn sweep(&mut self, net: &Net, now: Time) {
+        self.now = self.now.max(now);
         // What a server has swallowed would else count against the connection's streams for good.
         let long_ago =
             now.before(self.settings.module.classes.iter().map(|c| c.deadline).max().unwrap_or_default());
@@ -382,9 +506,10 @@
             (link.is_idle() && (gone || self.is_stale(link, now))).then_some(*key)
         };
         for key in self.links.iter().filter_map(stale).collect::<Vec<_>>() {
-            self.drop_link(net, key);
+            self.drop_link(net, key, Ended::Here);
         }
         self.servers.retain(|_, server| server.open || !server.links.is_empty());
+        self.closed.retain(|_, (at, _, _)| *at >= long_ago);
     }
 
     fn is_stale(&self, link: &Link, now: Time) -> bool {
@@ -427,7 +552,7 @@
             // Room for a server that is needed goes before a connection that is not.
             let idle = self.links.iter().filter(|(_, link)| link.is_idle());
             let oldest = idle.min_by_key(|(_, link)| link.last_used).map(|(key, _)| *key)?;
-            self.drop_link(net, oldest);
+            self.drop_link(net, oldest, Ended::Here);
         }
         let stream = crate::net::connect(address).ok()?;
         let key = net.new_key();
@@ -465,25 +590,42 @@
         if reported || write != link.asked_write {
             link.asked_write = write;
             if net.poll.ask(&link.stream, key, true, write).is_err() {
-                self.drop_link(net, key);
+                self.drop_link(net, key, Ended::Here);
             }
         }
     }
 
     /// Ends a connection. Whether a part's last byte was written decides if it may have run.
-    fn drop_link(&mut self, net: &Net, key: usize) {
+    fn drop_link(&mut self, net: &Net, key: usize, ended: Ended) {
         let Some(link) = self.links.remove(&key) else { return };
         net.poll.remove(&link.stream);
         if let Some(server) = self.servers.get_mut(&link.server) {
             server.links.retain(|k| *k != key);
         }
-        let mut parts: Vec<Carried> =
-            link.parts.into_values().filter(|part| part.abandoned.is_none()).collect();
-        parts.sort_by_key(|part| part.attempt);
-        for part in parts {
-            let verdict =
-                if part.written.is_some() { Verdict::ConnectionLost } else { Verdict::NoConnection };
-            finish(&mut self.attempts, &mut self.done, part.attempt, verdict);
+        for (name, part) in &link.parts {
+            if part.written.is_some() {
+                self.closed.insert(name.clone(), (self.now, part.abandoned.is_some(), ended));
+            }
+        }
+        let mut parts: Vec<(String, Carried)> =
+            link.parts.into_iter().filter(|(_, part)| part.abandoned.is_none()).collect();
+        parts.sort_by_key(|(_, part)| part.attempt);
+        // Closing here is word that all on it are given up, which its server has yet to read.
+        let heard = self.now.after(HEARD_AFTER);
+        if ended == Ended::Here {
+            for held in self.held.iter_mut().filter(|held| held.key == key) {
+                held.due = held.due.max(heard);
+            }
+        }
+        for (name, part) in parts {
+            if part.written.is_none() {
+                finish(&mut self.attempts, &mut self.done, part.attempt, Verdict::NoConnection);
+            } else if ended == Ended::Peer {
+                finish(&mut self.attempts, &mut self.done, part.attempt, Verdict::ConnectionLost);
+            } else if self.attempts.remove(&part.attempt).is_some() {
+                let done = Done::Attempt(part.attempt, Verdict::ConnectionLost, None, LoadReport::default());
+                self.held.push(Held { due: heard, key, name, done });
+            }
         }
         for _ in link.probes {
             let verdict = if link.connected { Verdict::ConnectionLost } else { Verdict::NoConnection };
@@ -582,10 +724,16 @@
             let result = self.outbox.flush(&mut self.stream);
             for _ in before..self.outbox.finished() {
                 self.last_used = now;
-                if let Some(Frame::Query(parts)) = self.encoded.pop_front() {
-                    for (name, _) in parts {
-                        self.parts.entry(name).and_modify(|part| part.written = Some(now));
+                match self.encoded.pop_front() {
+                    Some(Frame::Query(parts)) => {
+                        for (name, _) in parts {
+                            self.parts.entry(name).and_modify(|part| part.written = Some(now));
+                        }
+                    }
+                    Some(Frame::Cancel(name)) => {
+                        self.parts.entry(name).and_modify(|part| part.told = Some(now));
                     }
+                    _ => {}
                 }
             }
             if !result? {
@@ -887,6 +1035,46 @@
     }
 
     // Guards the decisions against figures that no server can mean.
+    // Guards the rule on second copies: on the churn day a part went out again on another connection 0 to 1 ms
+    // after its earlier attempt was given up, before its server could have read the word (`c`, or the close).
+    #[test]
+    fn a_part_given_up_is_over_once_its_server_has_heard_so() {
+        let mut bench = bench();
+        let (first, second) = (bench.send(1), bench.send(2));
+        let (mut stream, _) = bench.server.accept().expect("the connection comes");
+        while bench.backend.links.values().any(|l| l.parts.values().any(|p| p.written.is_none())) {
+            let mut ready = Vec::new();
+            bench.net.poll.wait(None, &mut ready).expect("polls");
+            for report in ready {
+                let now = bench.net.clock.now();
+                bench.backend.ready(&mut bench.net, now, report.key, report.readable);
+            }
+        }
+        let now = bench.net.clock.now();
+        bench.backend.give_up(now, first, Verdict::Cancelled);
+        bench.backend.flush(&mut bench.net, now);
+        assert!(bench.backend.done.is_empty(), "told before the word could be read");
+        let mut read = Vec::new();
+        while !read.ends_with(b"cq1.0") {
+            let mut bytes = [0; 256];
+            let count = stream.read(&mut bytes).expect("the word comes");
+            assert!(count > 0, "the connection stays");
+            read.extend_from_slice(&bytes[..count]);
+        }
+        bench.backend.flush(&mut bench.net, now.after(HEARD_AFTER / 2));
+        assert!(bench.backend.done.is_empty(), "told within the slack");
+        bench.backend.flush(&mut bench.net, now.after(HEARD_AFTER * 2));
+        assert_eq!(bench.run(1), [(PartId(1), Verdict::Cancelled)]);
+        // A close here is such word for all that are out on the connection.
+        let key = *bench.backend.links.keys().next().expect("one connection");
+        bench.backend.drop_link(&bench.net, key, Ended::Here);
+        bench.backend.flush(&mut bench.net, now.after(HEARD_AFTER * 5 / 2));
+        assert!(bench.backend.done.is_empty(), "told before the close could be read");
+        bench.backend.flush(&mut bench.net, now.after(HEARD_AFTER * 3));
+        assert_eq!(bench.run(1), [(PartId(2), Verdict::ConnectionLost)]);
+        let _ = second;
+    }
+
     #[test]
     fn reports_that_make_no_sense_are_left_out() {
         let report = read_report("pending=nan,busy_reqs=-1;cpu_share=inf,svc_ms=2,=,%");
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -314,6 +314,8 @@
                 self.backend.look(&self.net, now);
             }
             Due::Sweep => self.sweep(now),
+            // The outcomes come with the gather that follows.
+            Due::Heard => {}
             Due::StopListening => self.stop_listening(now),
             Due::StopServing => self.stop_serving(now),
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -35,6 +35,8 @@
     Watch,
     /// A look for connections to servers that have fallen silent.
     Look,
+    /// The end of the wait after word that attempts were given up: their outcomes may be told.
+    Heard,
     /// A look over connections that stand idle.
     Sweep,
     /// The end of listening after SIGTERM.
