--- a/src/backend.rs
+++ b/src/backend.rs
@@ -918,6 +918,18 @@
             attempt
         }
 
+        /// Handles what the poller reports until every part's frame is written whole.
+        fn write_all(&mut self) {
+            while self.backend.links.values().any(|l| l.parts.values().any(|p| p.written.is_none())) {
+                let mut ready = Vec::new();
+                self.net.poll.wait(None, &mut ready).expect("polls");
+                for report in ready {
+                    let now = self.net.clock.now();
+                    self.backend.ready(&mut self.net, now, report.key, report.readable);
+                }
+            }
+        }
+
         /// Handles what the poller reports until so much has ended.
         fn run(&mut self, ended: usize) -> Vec<(PartId, Verdict)> {
             while self.backend.done.len() < ended {
@@ -1008,17 +1020,7 @@
     fn a_connection_with_swallowed_parts_is_left() {
         let mut bench = bench();
         let (first, second) = (bench.send(1), bench.send(2));
-        let written = |bench: &Bench| {
-            bench.backend.links.values().all(|l| l.parts.values().all(|p| p.written.is_some()))
-        };
-        while !written(&bench) {
-            let mut ready = Vec::new();
-            bench.net.poll.wait(None, &mut ready).expect("polls");
-            for report in ready {
-                let now = bench.net.clock.now();
-                bench.backend.ready(&mut bench.net, now, report.key, report.readable);
-            }
-        }
+        bench.write_all();
         let now = bench.net.clock.now();
         bench.backend.give_up(now, first, Verdict::Cancelled);
         bench.backend.sweep(&bench.net, now.after(Duration::from_secs(59)));
@@ -1042,14 +1044,7 @@
         let mut bench = bench();
         let (first, second) = (bench.send(1), bench.send(2));
         let (mut stream, _) = bench.server.accept().expect("the connection comes");
-        while bench.backend.links.values().any(|l| l.parts.values().any(|p| p.written.is_none())) {
-            let mut ready = Vec::new();
-            bench.net.poll.wait(None, &mut ready).expect("polls");
-            for report in ready {
-                let now = bench.net.clock.now();
-                bench.backend.ready(&mut bench.net, now, report.key, report.readable);
-            }
-        }
+        bench.write_all();
         let now = bench.net.clock.now();
         bench.backend.give_up(now, first, Verdict::Cancelled);
         bench.backend.flush(&mut bench.net, now);
