--- a/src/backend.rs
+++ b/src/backend.rs
@@ -127,9 +127,6 @@
     abandoned: Option<Time>,
     /// When the word that it was given up was written whole.
     told: Option<Time>,
-    /// Parts on the connection, given up or not, when it was given up: at the server's limit, what
-    /// follows waits unread.
-    crowd: usize,
 }
 
 struct Link {
@@ -185,8 +182,9 @@
     held: Vec<Held>,
     /// When the wheel brings the next look at them.
     held_armed: Option<Time>,
-    /// Parts that may have run, by their id on the wire, whose connection this broker ended: when, and
-    /// whether they had been given up before. Kept for the longest deadline.
+    /// Parts that may have run, by their id on the wire, whose connection ended: when, whether they had
+    /// been given up before, and who ended it. Kept for the longest deadline, and only while debug lines
+    /// are written: the probe of the rule on second copies reads it.
     closed: HashMap<String, (Time, bool, Ended)>,
 }
 
@@ -257,12 +255,11 @@
             return;
         };
         let (attempt, step) = (send.attempt, self.step);
-        if attempt.1 > 0 {
+        if attempt.1 > 0 && tracing::enabled!(tracing::Level::DEBUG) {
             self.look_back(now, &name, key);
         }
         let Some(link) = self.links.get_mut(&key) else { return };
-        link.parts
-            .insert(name.clone(), Carried { attempt, written: None, abandoned: None, told: None, crowd: 0 });
+        link.parts.insert(name.clone(), Carried { attempt, written: None, abandoned: None, told: None });
         self.attempts.insert(attempt, key);
         let batch = self.settings.module.batch as usize;
         match link.waiting.back_mut() {
@@ -282,14 +279,12 @@
             let Some(abandoned) = part.abandoned.filter(|_| part.written.is_some()) else { continue };
             let told_ms = part.told.map(|told| now.since(told).as_secs_f64() * 1e3);
             let waiting = link.outbox.len() + link.waiting.len();
-            let crowded = part.crowd >= self.settings.max_streams;
             tracing::debug!(
                 "again: {name} goes out again {:.3} ms after it was given up; word of that written {}, \
-                 {waiting} frames wait on its connection, {} parts were on it{}",
+                 {waiting} frames wait on its connection, {} parts are on it",
                 now.since(abandoned).as_secs_f64() * 1e3,
                 told_ms.map_or("not yet".to_string(), |ms| format!("{ms:.3} ms ago")),
-                part.crowd,
-                if crowded { ", at the server's limit" } else { "" },
+                link.parts.len(),
             );
         }
         if let Some((at, abandoned, ended)) = self.closed.remove(name) {
@@ -331,20 +326,24 @@
             finish(&mut self.attempts, &mut self.done, attempt, Verdict::NotSent);
             return;
         }
-        let crowd = link.parts.len();
         let Some((name, part)) = link.parts.iter_mut().find(|(_, part)| part.attempt == attempt) else {
             return;
         };
         part.abandoned = Some(now);
-        part.crowd = crowd;
         let since = part.written.unwrap_or(now).max(link.heard);
         link.doubted |= now.since(since) >= self.quiet;
         link.waiting.push_back(Frame::Cancel(name.clone()));
         let name = name.clone();
         self.touched.push(key);
+        self.hold(attempt, verdict, key, name, now.after(HEARD_AFTER));
+    }
+
+    /// Keeps the outcome of an attempt given up on a connection until its server has heard so; the twin of
+    /// [`finish`] for such attempts.
+    fn hold(&mut self, attempt: AttemptId, verdict: Verdict, key: usize, name: String, due: Time) {
         if self.attempts.remove(&attempt).is_some() {
             let done = Done::Attempt(attempt, verdict, None, LoadReport::default());
-            self.held.push(Held { due: now.after(HEARD_AFTER), key, name, done });
+            self.held.push(Held { due, key, name, done });
         }
     }
 
@@ -602,8 +601,8 @@
         if let Some(server) = self.servers.get_mut(&link.server) {
             server.links.retain(|k| *k != key);
         }
-        for (name, part) in &link.parts {
-            if part.written.is_some() {
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            for (name, part) in link.parts.iter().filter(|(_, part)| part.written.is_some()) {
                 self.closed.insert(name.clone(), (self.now, part.abandoned.is_some(), ended));
             }
         }
@@ -622,9 +621,8 @@
                 finish(&mut self.attempts, &mut self.done, part.attempt, Verdict::NoConnection);
             } else if ended == Ended::Peer {
                 finish(&mut self.attempts, &mut self.done, part.attempt, Verdict::ConnectionLost);
-            } else if self.attempts.remove(&part.attempt).is_some() {
-                let done = Done::Attempt(part.attempt, Verdict::ConnectionLost, None, LoadReport::default());
-                self.held.push(Held { due: heard, key, name, done });
+            } else {
+                self.hold(part.attempt, Verdict::ConnectionLost, key, name, heard);
             }
         }
         for _ in link.probes {
