--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -1,9 +1,10 @@
 //! The commands beside serving, as processes.
 
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
+use std::io::{BufRead, BufReader};
 use std::process::{Command, Stdio};
 
+mod program;
+
 fn program() -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_badgergauge"));
     command.env_clear();
@@ -20,16 +21,11 @@
     let method = if body.is_some() { "POST" } else { "GET" };
     let body = body.unwrap_or_default();
     let head = headers.iter().map(|h| format!("{h}\r\n")).collect::<String>();
-    let mut stream = TcpStream::connect(address).expect("listens");
-    write!(
-        stream,
+    let request = format!(
         "{method} /{path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n{head}Content-Length: {}\r\n\r\n{body}",
         body.len()
-    )
-    .expect("written");
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).expect("an answer");
-    answer
+    );
+    program::exchange(address, &request)
 }
 
 // Guards the first minutes with the program: both lines that the demo prints work as they are, and it ends
--- a/tests/trace.rs
+++ b/tests/trace.rs
@@ -1,15 +1,13 @@
 //! The recorder beside the running program: what it writes is what was asked and decided, and a replay of it
 //! decides the same.
 
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 
 use badgergauge_standin::{Manner, TileServer};
 use badgergauge_trace::merge::{Merged, files};
 use badgergauge_trace::tools;
-use serde_json::{Value, json};
+mod program;
 
 /// Long after anything that works has happened; no verdict hangs on it.
 const HANGS: std::time::Duration = std::time::Duration::from_secs(20);
@@ -33,12 +31,8 @@
     fn start(name: &str, servers: &[TileServer], service: &str) -> Self {
         let dir = std::env::temp_dir().join(format!("badgergauge-trace-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a folder");
-        let mut config: Value = serde_json::from_str(include_str!("exchanges/config.json")).expect("JSON");
-        for (cell, server) in servers.iter().enumerate() {
-            let line = json!({"name": format!("s{cell}"), "address": server.address().to_string(), "zone": "z",
-                "group": cell, "status": "up", "since_ms": 0});
-            config["known"]["endpoints"].as_array_mut().expect("a list").push(line);
-        }
+        let addresses: Vec<String> = servers.iter().map(|server| server.address().to_string()).collect();
+        let mut config = program::config(&addresses);
         // Both servers hold every shard.
         config["settings"]["extra"]["width"] = 2.into();
         std::fs::write(dir.join("config.json"), config.to_string()).expect("written");
@@ -47,18 +41,9 @@
             service.replace("DIR", &dir.join("t").display().to_string()),
         )
         .expect("written");
-        let mut program = Command::new(env!("CARGO_BIN_EXE_badgergauge"))
-            .env("BALANCER_CONFIG", dir.join("config.json"))
-            .env("BALANCER_SERVICE", dir.join("service.yaml"))
-            .env("BALANCER_LISTEN", "127.0.0.1:0")
-            // Nobody listens there: the list is the known one.
-            .env("BALANCER_DISCOVERY", "127.0.0.1:1")
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("starts");
-        let mut lines = BufReader::new(program.stderr.take().expect("piped")).lines().map_while(Result::ok);
-        let line = lines.by_ref().find(|line| line.contains(" listens ")).expect("it listens");
-        let address = line.rsplit(' ').next().expect("an address").to_owned();
+        let mut command = program::broker(&dir.join("config.json"));
+        command.env("BALANCER_SERVICE", dir.join("service.yaml"));
+        let (program, address, mut lines) = program::listening(command);
         let (sender, log) = std::sync::mpsc::channel();
         std::thread::spawn(move || lines.try_for_each(|line| sender.send(line)));
         Broker { program, address, dir, log }
@@ -66,17 +51,12 @@
 
     fn ask(&self, class: &str, name: &str, headers: &str) -> String {
         let body = r#"{"tablets":[{"tablet":0,"fraction":0.5},{"tablet":1,"fraction":0.5}],"statement":"secret-text"}"#;
-        let mut stream = TcpStream::connect(&self.address).expect("listens");
-        write!(
-            stream,
+        let request = format!(
             "POST /{class} HTTP/1.1\r\nHost: h\r\nX-Request-ID: {name}\r\nX-Timeout: 9000m\r\n{headers}\
              Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
-        )
-        .expect("written");
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).expect("an answer");
-        answer
+        );
+        program::exchange(&self.address, &request)
     }
 
     fn signal(&self, signal: &str) {
--- a/tests/word.rs
+++ b/tests/word.rs
@@ -1,14 +1,15 @@
 //! Word between brokers, over sockets: what one program says of its attempts, and what it makes of what it hears.
 
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpStream, UdpSocket};
-use std::process::{Child, Command, Stdio};
+use std::net::UdpSocket;
+use std::process::Child;
 use std::time::Duration;
 
 use badgergauge::interface::Verdict;
 use badgergauge::word;
 use badgergauge_standin::TileServer;
-use serde_json::{Value, json};
+use serde_json::Value;
+
+mod program;
 
 /// Long after anything that works has happened; no verdict hangs on it.
 const HANGS: Duration = Duration::from_secs(20);
@@ -26,12 +27,7 @@
 /// Starts a broker that is number 0 of ten, whose others are the sockets given.
 fn start(server: &TileServer, others: &[UdpSocket]) -> (Program, String) {
     let file = std::env::temp_dir().join(format!("badgergauge-word-{}.json", std::process::id()));
-    let mut config: Value = serde_json::from_str(include_str!("exchanges/config.json")).expect("JSON");
-    for cell in 0..2 {
-        let line = json!({"name": format!("s{cell}"), "address": server.address().to_string(), "zone": "z",
-            "group": cell, "status": "up", "since_ms": 0});
-        config["known"]["endpoints"].as_array_mut().expect("a list").push(line);
-    }
+    let mut config = program::config(&[server.address().to_string(), server.address().to_string()]);
     let at = |socket: &UdpSocket| Value::from(socket.local_addr().expect("bound").to_string());
     // Its own address is one that the system picks; the others learn it from what they hear.
     config["peer_listen"] = "127.0.0.1:0".into();
@@ -39,32 +35,19 @@
     config["settings"]["balancers"] = 10.into();
     config["settings"]["limits"]["peers"] = true.into();
     std::fs::write(&file, config.to_string()).expect("written");
-    let mut program = Command::new(env!("CARGO_BIN_EXE_badgergauge"))
-        .env("BALANCER_CONFIG", &file)
-        .env("BALANCER_LISTEN", "127.0.0.1:0")
-        .env("BALANCER_DISCOVERY", "127.0.0.1:1")
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("starts");
-    let mut lines = BufReader::new(program.stderr.take().expect("piped")).lines().map_while(Result::ok);
-    let line = lines.by_ref().find(|line| line.contains(" listens ")).expect("it listens");
+    let (child, address, lines) = program::listening(program::broker(&file));
     std::thread::spawn(move || lines.for_each(drop));
-    (Program(program, file), line.rsplit(' ').next().expect("an address").to_owned())
+    (Program(child, file), address)
 }
 
 fn ask(address: &str, name: &str) -> String {
     let body = r#"{"tablets":[{"tablet":0,"fraction":1.0}],"statement":"t"}"#;
-    let mut stream = TcpStream::connect(address).expect("listens");
-    write!(
-        stream,
+    let request = format!(
         "POST /search HTTP/1.1\r\nHost: h\r\nX-Request-ID: {name}\r\nX-Timeout: 9000m\r\n\
          Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
-    )
-    .expect("written");
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).expect("an answer");
-    answer
+    );
+    program::exchange(address, &request)
 }
 
 #[test]
