--- /dev/null
+++ b/crates/fleet/src/load.rs
@@ -0,0 +1,615 @@
+//! Open-loop clients in one thread: each query is due at a drawn time and counts from then, however late it could be
+//! sent. They go through a front that knows which brokers are there, come again as they are told to, and check
+//! every value that they get.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use badgergauge_poll::{Poll, Ready, Waker};
+use badgergauge_standin::value;
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use socket2::{Domain, Socket, Type};
+
+/// How long after its time an answer is still waited for: what comes later, or never, is lost.
+const PATIENCE: Duration = Duration::from_millis(1500);
+/// Tries of a query: the first, and those after refusals and connections that were not taken.
+const TRIES: u32 = 4;
+/// A value, shard and weight apart, that no answer may be longer than.
+const LONGEST: usize = 1024 * 1024;
+
+/// A class of queries.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Its name, the first part of the path.
+    pub name: String,
+    /// Answers earn their whole worth up to then.
+    pub aim: Duration,
+    /// The client's time.
+    pub deadline: Duration,
+    /// Whether it carries an idempotency key.
+    pub keyed: bool,
+    /// The least share of an answer.
+    pub least: f64,
+    /// Its share of the queries.
+    pub share: f64,
+}
+
+/// What clients ask.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Queries a second, of all clients.
+    pub rate: f64,
+    /// Each broker's share of them, in any unit.
+    pub weights: Vec<f64>,
+    /// Parts of a query.
+    pub parts: usize,
+    /// Tile blocks there are.
+    pub blocks: u32,
+    /// The classes.
+    pub classes: Vec<Class>,
+    /// From when, since `base`, and for how long they ask.
+    pub from: Duration,
+    /// See `from`.
+    pub lasts: Duration,
+    /// For everything that is drawn.
+    pub seed: u64,
+}
+
+/// Queries by what became of them, by the second in which they were due.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Fates {
+    /// Queries that were due.
+    pub offered: u32,
+    /// Whole answers within the aim.
+    pub in_time: u32,
+    /// Whole answers after it, within the client's time.
+    pub late: u32,
+    /// Answers that were not whole, marked so.
+    pub partial: u32,
+    /// Given up after refusals.
+    pub refused: u32,
+    /// Failed.
+    pub failed: u32,
+    /// Never answered, or after the client's time.
+    pub lost: u32,
+    /// Refusals, each of which may be followed by another try.
+    pub refusals: u32,
+    /// Connections that were not taken, each followed by another try.
+    pub not_taken: u32,
+}
+
+/// A request that was never answered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Unanswered {
+    /// Its id.
+    pub id: String,
+    /// The broker.
+    pub broker: usize,
+    /// When it was sent, and when that was found.
+    pub sent: Duration,
+    /// See `sent`.
+    pub ended: Duration,
+    /// Its connection ended; else nothing came at all.
+    pub closed: bool,
+}
+
+/// What clients saw.
+#[derive(Debug)]
+pub struct Seen {
+    /// By second.
+    pub fates: BTreeMap<u64, Fates>,
+    /// Times of answered queries, from when they were due, in microseconds.
+    pub times: Histogram<u64>,
+    /// Requests that were never answered.
+    pub unanswered: Vec<Unanswered>,
+    /// Answers that hold what no server made, or are marked whole and are not: when, and what.
+    pub wrong: Vec<(Duration, String)>,
+    /// How late the harness itself sent at the worst, beyond when a query was due.
+    pub lateness: Duration,
+}
+
+/// What the front is told.
+#[derive(Clone, Copy, Debug)]
+pub enum Tell {
+    /// A broker is there at this address, or is not there.
+    Front(usize, Option<SocketAddr>),
+}
+
+/// The running clients.
+pub struct Clients {
+    tell: Sender<Tell>,
+    waker: Waker,
+    thread: JoinHandle<Seen>,
+}
+
+impl Clients {
+    /// Starts them; times are since `base`.
+    ///
+    /// # Errors
+    ///
+    /// When the system has no descriptors left.
+    pub fn start(load: Load, base: Instant) -> io::Result<Self> {
+        let poll = Poll::new()?;
+        let (waker, (tell, told)) = (poll.waker(), mpsc::channel());
+        let times =
+            Histogram::new_with_bounds(1, 60_000_000, 3).map_err(|e| io::Error::other(e.to_string()))?;
+        let running = Running::new(load, base, poll, told, times);
+        let thread = thread::Builder::new().name("clients".into()).spawn(move || running.run())?;
+        Ok(Clients { tell, waker, thread })
+    }
+
+    /// Tells the front something.
+    pub fn tell(&self, what: Tell) {
+        // Once all are answered nobody hears it, which is fine.
+        let _ = self.tell.send(what);
+        self.waker.wake();
+    }
+
+    /// Whether all have been answered or given up.
+    pub fn are_done(&self) -> bool {
+        self.thread.is_finished()
+    }
+
+    /// What they saw, once all are done.
+    ///
+    /// # Errors
+    ///
+    /// When their thread panicked.
+    pub fn seen(self) -> io::Result<Seen> {
+        self.thread.join().map_err(|_| io::Error::other("the clients' thread panicked"))
+    }
+}
+
+/// A query that a client wants answered.
+#[derive(Clone)]
+struct Wish {
+    due: Duration,
+    ends: Duration,
+    class: usize,
+    shards: Vec<u32>,
+    statement: String,
+    key: String,
+    tries: u32,
+    /// Brokers that did not take it.
+    not: Vec<usize>,
+}
+
+struct Try {
+    wish: Wish,
+    id: String,
+    broker: usize,
+    stream: TcpStream,
+    out: Vec<u8>,
+    written: usize,
+    bytes: Vec<u8>,
+    sent: Duration,
+}
+
+enum Due {
+    /// The next query is due.
+    Next,
+    /// A client comes again.
+    Again(Box<Wish>),
+    /// A try is given up.
+    Expire(usize),
+}
+
+/// A whole response.
+#[derive(Debug, PartialEq)]
+struct Response {
+    status: u16,
+    retry_after: Option<Duration>,
+    body: Vec<u8>,
+}
+
+enum Ended {
+    /// With a whole response.
+    Answered(Response),
+    /// The connection was not taken: nothing of the request went out, or it was refused.
+    NotTaken,
+    /// Without a whole response: by the connection's end, or by time.
+    Lost { closed: bool },
+}
+
+struct Running {
+    load: Load,
+    base: Instant,
+    poll: Poll,
+    told: Receiver<Tell>,
+    rng: ChaCha8Rng,
+    front: Vec<Option<SocketAddr>>,
+    tries: HashMap<usize, Try>,
+    due: BinaryHeap<Reverse<(Duration, usize)>>,
+    what: HashMap<usize, Due>,
+    last: usize,
+    /// Queries asked so far, and those that are not ended.
+    asked: u64,
+    open: usize,
+    asking: bool,
+    seen: Seen,
+}
+
+impl Running {
+    fn new(load: Load, base: Instant, poll: Poll, told: Receiver<Tell>, times: Histogram<u64>) -> Self {
+        let seen = Seen {
+            fates: BTreeMap::new(),
+            times,
+            unanswered: Vec::new(),
+            wrong: Vec::new(),
+            lateness: Duration::ZERO,
+        };
+        let front = vec![None; load.weights.len()];
+        let rng = ChaCha8Rng::seed_from_u64(load.seed);
+        let (tries, due, what) = (HashMap::new(), BinaryHeap::new(), HashMap::new());
+        let mut running = Running {
+            load,
+            base,
+            poll,
+            told,
+            rng,
+            front,
+            tries,
+            due,
+            what,
+            last: 0,
+            asked: 0,
+            open: 0,
+            asking: true,
+            seen,
+        };
+        running.arm(running.load.from, Due::Next);
+        running
+    }
+
+    fn arm(&mut self, at: Duration, what: Due) -> usize {
+        self.last += 1;
+        self.due.push(Reverse((at, self.last)));
+        self.what.insert(self.last, what);
+        self.last
+    }
+
+    fn run(mut self) -> Seen {
+        let mut ready: Vec<Ready> = Vec::new();
+        while self.asking || self.open > 0 {
+            let pause = self.due.peek().map(|Reverse((at, _))| at.saturating_sub(self.base.elapsed()));
+            if self.poll.wait(pause, &mut ready).is_err() {
+                break;
+            }
+            while let Ok(Tell::Front(broker, at)) = self.told.try_recv() {
+                self.front[broker] = at;
+            }
+            for report in std::mem::take(&mut ready) {
+                self.ready(report.key);
+            }
+            let now = self.base.elapsed();
+            while let Some(Reverse((at, id))) = self.due.peek().copied().filter(|due| due.0.0 <= now) {
+                self.due.pop();
+                match self.what.remove(&id) {
+                    Some(Due::Next) => self.next(at),
+                    Some(Due::Again(wish)) => self.attempt(*wish),
+                    Some(Due::Expire(key)) => self.end(key, Ended::Lost { closed: false }),
+                    None => {}
+                }
+            }
+        }
+        self.seen
+    }
+
+    fn fates(&mut self, wish: &Wish) -> &mut Fates {
+        self.seen.fates.entry(wish.due.as_secs()).or_default()
+    }
+
+    /// A query is due, and then the next one.
+    fn next(&mut self, at: Duration) {
+        let gap = -(1.0 - self.rng.random::<f64>()).ln() / self.load.rate;
+        let next = at + Duration::from_secs_f64(gap);
+        if next < self.load.from + self.load.lasts {
+            self.arm(next, Due::Next);
+        } else {
+            self.asking = false;
+        }
+        self.asked += 1;
+        let luck = self.rng.random::<f64>() * self.load.classes.iter().map(|c| c.share).sum::<f64>();
+        let mut sum = 0.0;
+        let class = self.load.classes.iter().position(|class| {
+            sum += class.share;
+            luck < sum
+        });
+        let class = class.unwrap_or(0);
+        let count = self.load.parts.min(self.load.blocks as usize) as u32;
+        // Neighbours, as a map's window asks them.
+        let first = self.rng.random_range(0..self.load.blocks);
+        let shards = (0..count).map(|n| (first + n) % self.load.blocks).collect();
+        let wish = Wish {
+            due: at,
+            ends: at + self.load.classes[class].deadline,
+            class,
+            shards,
+            statement: format!("{:08x}", self.rng.random::<u32>()),
+            key: format!("{:016x}{:016x}", self.load.seed, self.asked),
+            tries: 0,
+            not: Vec::new(),
+        };
+        self.open += 1;
+        self.fates(&wish).offered += 1;
+        self.seen.lateness = self.seen.lateness.max(self.base.elapsed().saturating_sub(at));
+        self.attempt(wish);
+    }
+
+    /// The broker that the front gives a client.
+    fn choose(&mut self, wish: &Wish) -> Option<(usize, SocketAddr)> {
+        let there: Vec<(usize, SocketAddr)> =
+            self.front.iter().enumerate().filter_map(|(b, at)| Some((b, (*at)?))).collect();
+        let fresh: Vec<_> = there.iter().copied().filter(|(b, _)| !wish.not.contains(b)).collect();
+        let from = if fresh.is_empty() { there } else { fresh };
+        let weights: f64 = from.iter().map(|(b, _)| self.load.weights[*b]).sum();
+        let mut luck = self.rng.random::<f64>() * weights;
+        let chosen = from.iter().find(|(b, _)| {
+            luck -= self.load.weights[*b];
+            luck < 0.0
+        });
+        chosen.or(from.last()).copied()
+    }
+
+    fn attempt(&mut self, mut wish: Wish) {
+        let now = self.base.elapsed();
+        wish.tries += 1;
+        let left = wish.ends.saturating_sub(now);
+        let Some((broker, at)) = self.choose(&wish) else { return self.not_taken(wish, None) };
+        let id = format!("b{broker}-{}-{}", self.asked, wish.tries);
+        let id = format!("{id}-{}", self.last);
+        let class = &self.load.classes[wish.class];
+        let share = 1.0 / wish.shards.len() as f64;
+        let tablets: Vec<String> =
+            wish.shards.iter().map(|s| format!("{{\"tablet\":{s},\"fraction\":{share}}}")).collect();
+        let body = format!("{{\"tablets\":[{}],\"statement\":\"{}\"}}", tablets.join(","), wish.statement);
+        let key = if class.keyed { format!("Idempotency-Key: {}\r\n", wish.key) } else { String::new() };
+        let retried = if wish.tries > 1 { "X-Retried: 1\r\n" } else { "" };
+        let out = format!(
+            "POST /{} HTTP/1.1\r\nHost: b{broker}\r\nX-Request-ID: {id}\r\nX-Timeout: {}u\r\n{key}{retried}\
+             Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+            class.name,
+            left.as_micros().max(1),
+            body.len()
+        );
+        let stream = match connect(at) {
+            Ok(stream) => stream,
+            Err(_) => return self.not_taken(wish, Some(broker)),
+        };
+        let expire = (wish.ends + PATIENCE).max(now);
+        let key = self.arm(expire, Due::Expire(0));
+        self.what.insert(key, Due::Expire(key));
+        if self.poll.add(&stream, key, true, true).is_err() {
+            self.what.remove(&key);
+            return self.not_taken(wish, Some(broker));
+        }
+        let (out, bytes) = (out.into_bytes(), Vec::new());
+        self.tries.insert(key, Try { wish, id, broker, stream, out, written: 0, bytes, sent: now });
+    }
+
+    /// A broker did not take the connection: the client goes to another at once, or soon where there is none.
+    fn not_taken(&mut self, mut wish: Wish, broker: Option<usize>) {
+        self.fates(&wish).not_taken += 1;
+        let now = self.base.elapsed();
+        let again = if broker.is_some() { now } else { now + Duration::from_millis(100) };
+        wish.not.extend(broker);
+        // Where no broker is there at all, clients come until their time is over.
+        if again < wish.ends && (broker.is_none() || wish.tries < TRIES) {
+            wish.tries -= u32::from(broker.is_none());
+            self.arm(again, Due::Again(Box::new(wish)));
+        } else {
+            self.fates(&wish).refused += 1;
+            self.open -= 1;
+        }
+    }
+
+    fn ready(&mut self, key: usize) {
+        let Some(attempt) = self.tries.get_mut(&key) else { return };
+        match attempt.advance() {
+            Ok(None) => {
+                let write = attempt.written < attempt.out.len();
+                if self.poll.ask(&attempt.stream, key, true, write).is_err() {
+                    self.end(key, Ended::Lost { closed: true });
+                }
+            }
+            Ok(Some(response)) => self.end(key, Ended::Answered(response)),
+            // What was written in part can't have been taken.
+            Err(_) if attempt.written < attempt.out.len() => self.end(key, Ended::NotTaken),
+            Err(_) => self.end(key, Ended::Lost { closed: true }),
+        }
+    }
+
+    fn end(&mut self, key: usize, how: Ended) {
+        let Some(attempt) = self.tries.remove(&key) else { return };
+        self.poll.remove(&attempt.stream);
+        self.what.remove(&key);
+        let now = self.base.elapsed();
+        let Try { wish, id, broker, sent, .. } = attempt;
+        let class = self.load.classes[wish.class].clone();
+        match how {
+            Ended::NotTaken => return self.not_taken(wish, Some(broker)),
+            Ended::Lost { closed } => {
+                self.seen.unanswered.push(Unanswered { id, broker, sent, ended: now, closed });
+                self.fates(&wish).lost += 1;
+            }
+            Ended::Answered(Response { status: 200, body, .. }) => match judge(&wish, &body, class.least) {
+                Ok(whole) => {
+                    let took = now.saturating_sub(wish.due);
+                    let _ = self.seen.times.record(took.as_micros().max(1) as u64);
+                    let fates = self.fates(&wish);
+                    match (whole, took) {
+                        (_, took) if took > class.deadline => fates.lost += 1,
+                        (false, _) => fates.partial += 1,
+                        (true, took) if took <= class.aim => fates.in_time += 1,
+                        (true, _) => fates.late += 1,
+                    }
+                }
+                Err(fault) => {
+                    self.seen.wrong.push((now, format!("{id}: {fault}")));
+                    self.fates(&wish).failed += 1;
+                }
+            },
+            Ended::Answered(Response { status: 429 | 503, retry_after, .. }) => {
+                self.fates(&wish).refusals += 1;
+                let again = now + retry_after.unwrap_or(Duration::from_millis(200));
+                if again < wish.ends && wish.tries < TRIES {
+                    self.arm(again, Due::Again(Box::new(wish)));
+                    return;
+                }
+                self.fates(&wish).refused += 1;
+            }
+            Ended::Answered(_) => self.fates(&wish).failed += 1,
+        }
+        self.open -= 1;
+    }
+}
+
+/// Whether an answer is whole.
+///
+/// # Errors
+///
+/// When it holds what no server made for it, or claims to be whole and is not, or holds less than its class may.
+fn judge(wish: &Wish, body: &[u8], least: f64) -> Result<bool, String> {
+    let body: serde_json::Value = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    let full = body["full"].as_bool().ok_or("`full` is missing")?;
+    let pieces = body["pieces"].as_array().ok_or("`pieces` is missing")?;
+    let mut shards = std::collections::BTreeSet::new();
+    for piece in pieces {
+        let shard =
+            piece["tablet"].as_u64().and_then(|s| u32::try_from(s).ok()).ok_or("`tablet` is missing")?;
+        if !wish.shards.contains(&shard) || !shards.insert(shard) {
+            return Err(format!("tablet {shard} was not asked, or came twice"));
+        }
+        if piece["cell"].as_str() != Some(&value(shard, wish.statement.as_bytes())) {
+            return Err(format!("the value of tablet {shard} is no server's"));
+        }
+    }
+    let whole = shards.len() == wish.shards.len();
+    if full != whole {
+        return Err(format!("{} of {} parts, and `full` is {full}", shards.len(), wish.shards.len()));
+    }
+    if (shards.len() as f64) < least * wish.shards.len() as f64 - 1e-9 {
+        return Err(format!(
+            "{} of {} parts are less than the class's least",
+            shards.len(),
+            wish.shards.len()
+        ));
+    }
+    Ok(whole)
+}
+
+impl Try {
+    /// Writes and reads what is possible. Gives the response once it is whole.
+    fn advance(&mut self) -> io::Result<Option<Response>> {
+        while self.written < self.out.len() {
+            match self.stream.write(&self.out[self.written..]) {
+                Ok(written) => self.written += written,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
+                Err(error) => return Err(error),
+            }
+        }
+        let mut buffer = [0; 16 * 1024];
+        loop {
+            match self.stream.read(&mut buffer) {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(read) => self.bytes.extend_from_slice(&buffer[..read]),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
+                Err(error) => return Err(error),
+            }
+            if let Some(response) = response(&self.bytes)? {
+                return Ok(Some(response));
+            }
+        }
+    }
+}
+
+/// Status, `Retry-After` and body of a response that is whole.
+fn response(bytes: &[u8]) -> io::Result<Option<Response>> {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut response = httparse::Response::new(&mut headers);
+    let bad = |fault: &str| io::Error::new(io::ErrorKind::InvalidData, fault.to_owned());
+    let head = match response.parse(bytes).map_err(|error| bad(&error.to_string()))? {
+        httparse::Status::Complete(head) => head,
+        httparse::Status::Partial => return Ok(None),
+    };
+    let header = |name: &str| {
+        let header = response.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name))?;
+        std::str::from_utf8(header.value).ok()?.trim().parse::<f64>().ok()
+    };
+    let length = header("Content-Length").ok_or_else(|| bad("no length"))? as usize;
+    if length > LONGEST {
+        return Err(bad("too long"));
+    }
+    let retry_after = header("Retry-After").map(|seconds| Duration::from_secs_f64(seconds.clamp(0.0, 60.0)));
+    let status = response.code.ok_or_else(|| bad("no status"))?;
+    Ok(bytes.get(head..head + length).map(|body| Response { status, retry_after, body: body.to_vec() }))
+}
+
+fn connect(to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(to), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    match socket.connect(&to.into()) {
+        Err(error) if error.raw_os_error() != Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => {
+            Err(error)
+        }
+        _ => Ok(socket.into()),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn wish() -> Wish {
+        let (due, ends) = (Duration::ZERO, Duration::from_secs(1));
+        let (shards, statement, key) = (vec![3, 4], "t".to_owned(), "k".to_owned());
+        Wish { due, ends, class: 0, shards, statement, key, tries: 1, not: Vec::new() }
+    }
+
+    fn body(full: bool, pieces: &[(u32, &str)]) -> String {
+        let piece = |(shard, text): &(u32, &str)| {
+            format!("{{\"tablet\":{shard},\"cell\":\"{}\"}}", value(*shard, text.as_bytes()))
+        };
+        let pieces: Vec<String> = pieces.iter().map(piece).collect();
+        format!("{{\"full\":{full},\"pieces\":[{}]}}", pieces.join(","))
+    }
+
+    // Each of the ways in which an answer can be wrong is found, and what is right is not held to be wrong.
+    #[test]
+    fn answers_are_judged_by_every_value_and_by_what_they_claim() {
+        let judge = |body: String, least| judge(&wish(), body.as_bytes(), least);
+        assert_eq!(judge(body(true, &[(3, "t"), (4, "t")]), 1.0), Ok(true));
+        assert_eq!(judge(body(false, &[(3, "t")]), 0.5), Ok(false));
+        for (wrong, least) in [
+            (body(true, &[(3, "t")]), 0.5),
+            (body(false, &[(3, "t"), (4, "t")]), 0.5),
+            (body(true, &[(3, "t"), (4, "u")]), 1.0),
+            (body(true, &[(3, "t"), (3, "t")]), 1.0),
+            (body(true, &[(3, "t"), (5, "t")]), 1.0),
+            (body(false, &[(3, "t")]), 1.0),
+            ("{".to_owned(), 0.0),
+        ] {
+            assert!(judge(wrong.clone(), least).is_err(), "{wrong}");
+        }
+    }
+
+    #[test]
+    fn a_response_is_read_once_it_is_whole() {
+        let text = b"HTTP/1.1 503 Busy\r\nRetry-After: 0.25\r\nContent-Length: 4\r\n\r\nbusy";
+        for end in 0..text.len() {
+            assert_eq!(response(&text[..end]).expect("sound so far"), None, "{end}");
+        }
+        let whole = response(text).expect("sound").expect("whole");
+        let retry_after = Some(Duration::from_millis(250));
+        assert_eq!(whole, Response { status: 503, retry_after, body: b"busy".to_vec() });
+        assert!(response(b"nonsense\r\n\r\n").is_err());
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/report.rs
@@ -0,0 +1,171 @@
+//! A run as a table, and drawn over time.
+
+use std::fmt::Write;
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use crate::record::{Record, Row};
+
+/// A run in words and a row for each second.
+pub fn table(record: &Record) -> String {
+    let mut text = String::new();
+    let _ = writeln!(
+        text,
+        "{}: {} brokers, {} servers, seed {}: {}",
+        record.name,
+        record.brokers,
+        record.servers,
+        record.seed,
+        if record.broken.is_empty() { "no rule broken" } else { "RULES BROKEN" }
+    );
+    let sum = |of: fn(&Row) -> u32| record.rows.iter().map(of).sum::<u32>();
+    let most = |of: fn(&Row) -> u32| record.rows.iter().map(of).max().unwrap_or(0);
+    let _ = writeln!(
+        text,
+        "queries {}: in time {}, late {}, partial {}, refused {}, failed {}, lost {}; median {:.1} ms, 99th {:.1} ms",
+        sum(|r| r.offered),
+        sum(|r| r.in_time),
+        sum(|r| r.late),
+        sum(|r| r.partial),
+        sum(|r| r.refused),
+        sum(|r| r.failed),
+        sum(|r| r.lost),
+        record.times_ms[0],
+        record.times_ms[1],
+    );
+    let _ = writeln!(
+        text,
+        "at the peak of a second: {} calls for the list, {} handshakes at one server, {} connections held by one; \
+         a cold server under {:.2} of its joint limit; {:.2} attempts a part; the harness sent {:.0} ms late at the worst",
+        most(|r| r.list_calls),
+        most(|r| r.handshakes_most),
+        most(|r| r.open_most),
+        record.rows.iter().map(|r| r.strain).fold(0.0, f64::max),
+        record.attempts_per_part,
+        record.lateness_ms,
+    );
+    if let Some(at) = record.fault_at {
+        let took = record
+            .full_service_s
+            .map_or("not in this run".to_owned(), |took| format!("{took:.0} s after it"));
+        let _ = writeln!(
+            text,
+            "first fault at {at:.1} s, share before it {:.3}; full service again: {took}",
+            record.steady
+        );
+    }
+    let _ = writeln!(
+        text,
+        "\n{:>4} {:>7} {:>7} {:>5} {:>7} {:>7} {:>6} {:>5} {:>6} {:>6} {:>6} {:>6} {:>7} {:>7} {:>6} {:>6} {:>6} {:>5}",
+        "s",
+        "offered",
+        "in time",
+        "late",
+        "partial",
+        "refused",
+        "failed",
+        "lost",
+        "lists",
+        "hands",
+        "parts",
+        "turned",
+        "no end",
+        "cold s",
+        "strain",
+        "cpu s",
+        "MB",
+        "warn"
+    );
+    for r in &record.rows {
+        let _ = writeln!(
+            text,
+            "{:>4} {:>7} {:>7} {:>5} {:>7} {:>7} {:>6} {:>5} {:>6} {:>6} {:>6} {:>6} {:>7} {:>7.2} {:>6.2} {:>6.2} {:>6.1} {:>5}",
+            r.second,
+            r.offered,
+            r.in_time,
+            r.late,
+            r.partial,
+            r.refused,
+            r.failed,
+            r.lost,
+            r.list_calls,
+            r.handshakes,
+            r.parts,
+            r.turned_away,
+            r.parts_lost,
+            r.cold_work,
+            r.strain,
+            r.cpu,
+            r.memory_mb,
+            r.warnings
+        );
+    }
+    for broken in record.broken.iter().take(20) {
+        let _ = writeln!(text, "BROKEN {:.3} s {}: {}", broken.at, broken.rule, broken.what);
+    }
+    if record.broken.len() > 20 {
+        let _ = writeln!(text, "and {} more", record.broken.len() - 20);
+    }
+    text
+}
+
+/// A line of a panel: its colour, and its figure in each second.
+type Line = (RGBColor, fn(&Row) -> f64);
+
+/// Draws a run over time as SVG: served shares, then handshakes and calls for the list, then work on cold servers.
+///
+/// # Errors
+///
+/// When the file can't be written.
+pub fn draw(record: &Record, path: &Path) -> Result<(), String> {
+    let plain = |error: &dyn std::fmt::Display| error.to_string();
+    let area = SVGBackend::new(path, (900, 720)).into_drawing_area();
+    area.fill(&WHITE).map_err(|e| plain(&e))?;
+    let rows: Vec<&Row> = record.rows.iter().filter(|row| row.second >= 0).collect();
+    let end = rows.last().map_or(1, |row| row.second + 1) as f64;
+    let panels: [(&str, Vec<Line>); 4] = [
+        (
+            "queries a second: offered (grey), answered whole in time (green), refused (red)",
+            vec![
+                (RGBColor(150, 150, 150), |r| f64::from(r.offered)),
+                (RGBColor(0, 130, 60), |r| f64::from(r.in_time)),
+                (RGBColor(200, 30, 30), |r| f64::from(r.refused)),
+            ],
+        ),
+        (
+            "a second: handshakes (blue), at the server with most (violet)",
+            vec![
+                (RGBColor(30, 80, 200), |r| f64::from(r.handshakes)),
+                (RGBColor(150, 30, 170), |r| f64::from(r.handshakes_most)),
+            ],
+        ),
+        (
+            "calls for the list a second (orange), turned away (red)",
+            vec![
+                (RGBColor(220, 120, 0), |r| f64::from(r.list_calls)),
+                (RGBColor(200, 30, 30), |r| f64::from(r.list_turned_away)),
+            ],
+        ),
+        (
+            "share of its joint limit that a cold server was under at the most (black; it falls at 1)",
+            vec![(RGBColor(0, 0, 0), |r| r.strain)],
+        ),
+    ];
+    for (area, (title, lines)) in area.split_evenly((4, 1)).iter().zip(panels) {
+        let most = lines.iter().flat_map(|(_, of)| rows.iter().map(|row| of(row))).fold(1.0, f64::max) * 1.1;
+        let mut chart = ChartBuilder::on(area)
+            .margin(8)
+            .caption(title, ("sans-serif", 14))
+            .x_label_area_size(22)
+            .y_label_area_size(48)
+            .build_cartesian_2d(0.0..end, 0.0..most)
+            .map_err(|e| plain(&e))?;
+        chart.configure_mesh().light_line_style(WHITE).draw().map_err(|e| plain(&e))?;
+        for (colour, of) in lines {
+            let points = rows.iter().map(|row| (row.second as f64 + 0.5, of(row)));
+            chart.draw_series(LineSeries::new(points, colour.stroke_width(2))).map_err(|e| plain(&e))?;
+        }
+    }
+    area.present().map_err(|e| plain(&e))
+}
--- /dev/null
+++ b/crates/fleet/src/run.rs
@@ -0,0 +1,662 @@
+//! Runs a scenario: stand-ins, fault proxy, brokers, clients, and the schedule of faults between them.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::time::{Duration, Instant};
+
+use badgergauge_standin::model::Figures;
+use badgergauge_standin::world::{Placed, Setting, Tell as WorldTell, World};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+
+use crate::load::{Class, Clients, Load, Tell as FrontTell};
+use crate::process::{Note, Process, Said};
+use crate::proxy::{Builder, Link, Proxy, Rule, Tell as ProxyTell};
+use crate::record::{self, Broken, Gathered, Record};
+use crate::scenario::{Fault, Scenario};
+use crate::schedule::{Act, Links, Schedule, zone_of};
+
+/// A broker that has not come up in this time has not started.
+const STARTS_IN: Duration = Duration::from_secs(20);
+/// A broker that has not ended so long after SIGTERM hangs.
+const STOPS_IN: Duration = Duration::from_secs(10);
+/// The front notices a broker's death so late.
+const NOTICED: Duration = Duration::from_millis(500);
+/// After SIGTERM new clients still come for so long.
+const LAST_CLIENTS: Duration = Duration::from_millis(300);
+/// A broker that fails to start, as another process took its port, is started again so often.
+const STARTS: u32 = 3;
+/// Brokers that there have to be more of before they speak to each other: fewer need no links for it.
+const FEW: usize = 8;
+/// The window of keyed queries.
+const WINDOW: Duration = Duration::from_secs(5);
+/// Seconds of full service in a row that end the time to it, at the most.
+pub const HOLD: usize = 10;
+
+/// What a run needs beside its scenario.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The broker's program.
+    pub program: PathBuf,
+    /// A folder for configuration, logs and the record; made if it is missing.
+    pub dir: PathBuf,
+    /// The scenario's name.
+    pub name: String,
+    /// Changes to the brokers' settings: a path in them, and a value. To see checks fail, and to compare.
+    pub set: Vec<(String, Value)>,
+    /// How long the stand-in servers know a key; the settings' window is 5 s.
+    pub window: Duration,
+    /// Seconds of full service in a row that end the time to it.
+    pub hold: usize,
+    /// Whether a broker starts with the list as it was at the run's start, as the platform gives one; else it
+    /// knows no server until discovery has told it.
+    pub known: bool,
+    /// Rolls kill brokers in place of telling them to end: to see what that costs.
+    pub rolls_kill: bool,
+}
+
+impl Options {
+    /// The usual ones.
+    pub fn new(program: &Path, dir: &Path, name: &str) -> Self {
+        let (program, dir, name) = (program.to_owned(), dir.to_owned(), name.to_owned());
+        Options {
+            program,
+            dir,
+            name,
+            set: Vec::new(),
+            window: WINDOW,
+            hold: HOLD,
+            known: true,
+            rolls_kill: false,
+        }
+    }
+}
+
+/// The classes that clients ask.
+fn classes() -> Vec<Class> {
+    let class = |name: &str, keyed: bool, least: f64, share: f64| Class {
+        name: name.to_owned(),
+        aim: Duration::from_millis(500),
+        deadline: Duration::from_secs(2),
+        keyed,
+        least,
+        share,
+    };
+    vec![
+        class("parcel-search", false, 1.0, 0.7),
+        class("title-flag", true, 1.0, 0.15),
+        class("area-report", false, 0.8, 0.15),
+    ]
+}
+
+/// The settings, as the platform gives them.
+fn settings(scenario: &Scenario, me: usize) -> Value {
+    let profiles: Vec<Value> = classes()
+        .iter()
+        .zip([1.0, 2.0, 5.0])
+        .map(|(class, credit)| {
+            json!({"name": class.name, "effect": if class.keyed { "keyed" } else { "safe" }, "credit": credit,
+                "lateShare": 0.3, "aimNs": class.aim.as_nanos() as u64,
+                "deadlineNs": class.deadline.as_nanos() as u64, "windowNs": WINDOW.as_nanos() as u64})
+        })
+        .collect();
+    let zones: Vec<String> = (0..scenario.zones).map(|zone| format!("z{zone}")).collect();
+    json!({"balancers": scenario.brokers, "me": me, "granularityNs": 5_000_000,
+        "locality": zone_of(me, scenario.zones), "zones": zones, "clients": {"marksRetry": true},
+        "registryMode": if scenario.on_request { "on_request" } else { "pushed" }, "profiles": profiles,
+        "extra": {"batch": 1, "callNs": 0, "followUp": [0, 0, 0], "incompleteWorth": [0.9, 0.9, 0.8],
+            "leastShare": [1.0, 1.0, 0.8], "needByClass": [1.0, 1.0, 1.0], "sets": scenario.cells,
+            "slices": blocks(scenario), "width": scenario.width},
+        "limits": {"cancel": true, "maxAttempts": 4, "maxOpen": 4000, "maxRetryAfterNs": 2_000_000_000_u64,
+            "maxStreams": 100, "mayProbe": false, "retryAfter": true, "secondCopies": false, "peers": true},
+        "prices": {"handshake": 0.001, "peer": 0.01},
+        "safety": {"coldFrom": scenario.tile.cold_from, "coldNs": scenario.tile.cold_for.as_nanos() as u64,
+            "fallMultiple": scenario.tile.fall_multiple, "overloadForNs": 1_000_000_000}})
+}
+
+fn blocks(scenario: &Scenario) -> u32 {
+    scenario.cells as u32 * 4
+}
+
+/// All links of the fleet, by what they join.
+#[derive(Default)]
+struct Wires {
+    /// By broker and server.
+    tiles: Vec<Vec<Link>>,
+    /// By broker: as it is at the start, and where discovery moves to.
+    lists: Vec<[Link; 2]>,
+    list_at: Vec<[SocketAddr; 2]>,
+    /// From a broker to another.
+    words: BTreeMap<(usize, usize), Link>,
+    /// Where each broker sends word for each other.
+    word_at: BTreeMap<(usize, usize), SocketAddr>,
+    /// Where each broker hears word.
+    hears: Vec<SocketAddr>,
+    /// Where each broker finds each server.
+    tile_at: Vec<Vec<SocketAddr>>,
+}
+
+impl Wires {
+    fn choose(&self, links: &Links, scenario: &Scenario) -> Vec<Link> {
+        let zone = |number: usize| zone_of(number, scenario.zones);
+        match links {
+            Links::All => {
+                let lists = self.lists.iter().flatten();
+                self.tiles.iter().flatten().chain(lists).chain(self.words.values()).copied().collect()
+            }
+            Links::Servers(servers) => {
+                self.tiles.iter().flat_map(|of| servers.iter().map(|server| of[*server])).collect()
+            }
+            Links::AcrossZone(cut) => {
+                let across = |one: usize, other: usize| (zone(one) == *cut) != (zone(other) == *cut);
+                let tiles = self.tiles.iter().enumerate().flat_map(|(broker, of)| {
+                    let of = of.iter().enumerate().filter(move |(server, _)| across(broker, *server));
+                    of.map(|(_, link)| *link)
+                });
+                let words = self.words.iter().filter(|((from, to), _)| across(*from, *to));
+                tiles.chain(words.map(|(_, link)| *link)).collect()
+            }
+        }
+    }
+}
+
+/// A broker of the fleet.
+#[derive(Default)]
+struct Broker {
+    process: Option<Process>,
+    run: u32,
+    /// Starts in a row that failed.
+    failed: u32,
+    /// It was told to end, or was killed, and is not to be held for crashed.
+    ends: bool,
+    /// It is to be started once it has ended.
+    again: bool,
+    /// When it was started, until it is ready.
+    started: Option<Duration>,
+    address: Option<SocketAddr>,
+    /// Whether discovery was moved for it.
+    moved: bool,
+    /// Processor time of its processes that have ended, and the last figure of the running one.
+    cpu: [f64; 2],
+}
+
+/// What falls due for the runner itself.
+#[derive(Clone, Debug, PartialEq)]
+enum Due {
+    Act(Act),
+    /// The front learns that a broker is gone.
+    Unlist(usize, u32),
+    /// A broker that was told to end is looked at.
+    Hangs(usize, u32),
+    /// Processor time and memory are read.
+    Sample,
+    /// Brokers that are starting are asked whether they are up.
+    Ask,
+}
+
+struct Fleet<'a> {
+    scenario: &'a Scenario,
+    options: &'a Options,
+    base: Instant,
+    offset: Duration,
+    world: World,
+    proxy: Proxy,
+    wires: Wires,
+    clients: Option<Clients>,
+    brokers: Vec<Broker>,
+    notes: Sender<Note>,
+    heard: Receiver<Note>,
+    due: Vec<(Duration, Due)>,
+    gathered: Gathered,
+    cpu_before: f64,
+}
+
+/// Runs a scenario to its end.
+///
+/// # Errors
+///
+/// When the harness itself can't do its part: no port, no descriptor, no folder, or no broker that starts.
+pub fn run(scenario: &Scenario, options: &Options) -> io::Result<Record> {
+    fs::create_dir_all(&options.dir)?;
+    let schedule = Schedule::new(scenario);
+    let base = Instant::now();
+    let mut builder = Builder::new(scenario.seed);
+    let mut wires = Wires::default();
+    let world = World::start(setting(scenario, options, &schedule), base, |tiles| {
+        let mut addresses: Vec<Vec<SocketAddr>> = Vec::new();
+        for _ in 0..scenario.brokers {
+            let linked: Vec<(Link, SocketAddr)> =
+                tiles.iter().map(|at| builder.tcp(*at)).collect::<Result<_, _>>()?;
+            wires.tiles.push(linked.iter().map(|(link, _)| *link).collect());
+            addresses.push(linked.into_iter().map(|(_, at)| at).collect());
+        }
+        wires.tile_at.clone_from(&addresses);
+        Ok(addresses)
+    })?;
+    for broker in 0..scenario.brokers {
+        let [one, other] = [builder.tcp(world.discovery(broker))?, builder.tcp(world.discovery(broker))?];
+        wires.lists.push([one.0, other.0]);
+        wires.list_at.push([one.1, other.1]);
+    }
+    if scenario.brokers > FEW {
+        // Each holds its port until all are drawn, so that no two get the same.
+        let sockets: Vec<UdpSocket> =
+            (0..scenario.brokers).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
+        wires.hears = sockets.iter().map(UdpSocket::local_addr).collect::<Result<_, _>>()?;
+        for one in 0..scenario.brokers {
+            for other in one + 1..scenario.brokers {
+                let ends = builder.udp(wires.hears[one], wires.hears[other])?;
+                for ((from, to), (link, at)) in [(one, other), (other, one)].into_iter().zip(ends) {
+                    wires.words.insert((from, to), link);
+                    wires.word_at.insert((from, to), at);
+                }
+            }
+        }
+    }
+    let proxy = builder.start()?;
+    // Servers of later are not there yet.
+    let later: Vec<usize> = (scenario.servers..scenario.servers + schedule.later.len()).collect();
+    proxy.tell(ProxyTell::Down(wires.choose(&Links::Servers(later), scenario)));
+    let (notes, heard) = mpsc::channel();
+    let brokers = (0..scenario.brokers).map(|_| Broker::default()).collect();
+    let mut fleet = Fleet {
+        scenario,
+        options,
+        base,
+        offset: Duration::ZERO,
+        world,
+        proxy,
+        wires,
+        clients: None,
+        brokers,
+        notes,
+        heard,
+        due: Vec::new(),
+        gathered: Gathered::default(),
+        cpu_before: 0.0,
+    };
+    fleet.play(&schedule)
+}
+
+fn placed(scenario: &Scenario, server: usize, cell: usize, up: bool) -> Placed {
+    let (name, zone) = (format!("t{server:03}"), format!("z{}", zone_of(server, scenario.zones)));
+    Placed { name, zone, cell: cell as u32, up }
+}
+
+fn setting(scenario: &Scenario, options: &Options, schedule: &Schedule) -> Setting {
+    let first = (0..scenario.servers).map(|server| (server, server % scenario.cells, true));
+    let later = schedule.later.iter().enumerate();
+    let later = later.map(|(n, cell)| (scenario.servers + n, *cell, false));
+    let placed = first.chain(later).map(|(server, cell, up)| placed(scenario, server, cell, up));
+    Setting {
+        figures: Figures {
+            workers: scenario.tile.workers,
+            service: scenario.tile.service,
+            queue: scenario.tile.queue,
+            connections: scenario.tile.connections,
+            cold_from: scenario.tile.cold_from,
+            cold_for: scenario.tile.cold_for,
+            fall_multiple: scenario.tile.fall_multiple,
+            window: Duration::from_secs(1),
+            down_for: Duration::from_secs(1),
+        },
+        servers: placed.collect(),
+        brokers: scenario.brokers,
+        cells: scenario.cells as u32,
+        width: scenario.width as u32,
+        window: options.window,
+        read_lag: scenario.tile.read_lag,
+        seed: scenario.seed,
+    }
+}
+
+impl Fleet<'_> {
+    fn now(&self) -> Duration {
+        self.base.elapsed()
+    }
+
+    fn arm(&mut self, at: Duration, what: Due) {
+        self.due.push((at, what));
+    }
+
+    fn play(&mut self, schedule: &Schedule) -> io::Result<Record> {
+        for broker in 0..self.scenario.brokers {
+            self.start(broker)?;
+        }
+        self.arm(Duration::from_secs(1), Due::Sample);
+        self.arm(Duration::ZERO, Due::Ask);
+        while self.brokers.iter().any(|broker| broker.address.is_none() || broker.started.is_some()) {
+            if !self.gathered.crashed.is_empty() {
+                return Err(io::Error::other(self.gathered.crashed[0].1.clone()));
+            }
+            self.turn()?;
+        }
+        // Whole seconds before the clients start, so that rows of all counts lie on the same seconds.
+        self.offset = Duration::from_secs(self.now().as_secs() + 1);
+        for (at, act) in &schedule.acts {
+            self.arm(*at + self.offset, Due::Act(act.clone()));
+        }
+        let mut rng = ChaCha8Rng::seed_from_u64(self.scenario.seed ^ 0xc11e);
+        // From a half to twice the mean: traffic is spread unevenly.
+        let weights: Vec<f64> =
+            (0..self.scenario.brokers).map(|_| 2_f64.powf(rng.random::<f64>() * 2.0 - 1.0)).collect();
+        let load = Load {
+            rate: self.scenario.rate * self.scenario.brokers as f64,
+            weights,
+            parts: self.scenario.parts,
+            blocks: blocks(self.scenario),
+            classes: classes(),
+            from: self.offset,
+            lasts: Duration::from_secs(self.scenario.seconds),
+            seed: self.scenario.seed,
+        };
+        let clients = Clients::start(load, self.base)?;
+        for (n, broker) in self.brokers.iter().enumerate() {
+            clients.tell(FrontTell::Front(n, broker.address));
+        }
+        self.clients = Some(clients);
+        let ends = schedule.ends() + self.offset;
+        while self.now() < ends || self.clients.as_ref().is_some_and(|clients| !clients.are_done()) {
+            self.turn()?;
+        }
+        let Some(clients) = self.clients.take() else { return Err(io::Error::other("no clients")) };
+        let seen = clients.seen()?;
+        self.brokers.iter_mut().for_each(|broker| broker.process = None);
+        let rough: Vec<(Duration, Duration)> = self.scenario.events.iter().filter_map(rough).collect();
+        let ledger = self.world.ledger();
+        let broken = record::breaches(&ledger, &seen, &self.gathered, schedule, self.offset, &rough);
+        let rows = record::rows(&ledger, &seen, &self.gathered, self.offset.as_secs());
+        let fault_at = schedule.acts.first().map(|(at, _)| at.as_secs_f64());
+        let (steady, full_service_s) = record::full_service(&rows, fault_at, self.options.hold);
+        let asked: u32 = rows.iter().map(|row| row.offered).sum();
+        let parts: u32 = rows.iter().map(|row| row.parts).sum();
+        let ms = |quantile: f64| seen.times.value_at_quantile(quantile) as f64 / 1e3;
+        let at = |at: Duration| at.as_secs_f64() - self.offset.as_secs_f64();
+        let broken = broken.into_iter();
+        let record = Record {
+            name: self.options.name.clone(),
+            brokers: self.scenario.brokers,
+            servers: self.scenario.servers,
+            seed: self.scenario.seed,
+            fault_at,
+            full_service_s,
+            steady,
+            times_ms: [ms(0.5), ms(0.99)],
+            lateness_ms: seen.lateness.as_secs_f64() * 1e3,
+            attempts_per_part: f64::from(parts) / (f64::from(asked.max(1)) * self.scenario.parts as f64),
+            repeated: ledger.repeated,
+            broken: broken
+                .map(|b| Broken { at: at(b.at), rule: format!("{:?}", b.rule), what: b.what })
+                .collect(),
+            rows,
+        };
+        fs::write(self.options.dir.join("record.json"), serde_json::to_string_pretty(&record)?)?;
+        Ok(record)
+    }
+
+    /// Waits for what comes next, and does it.
+    fn turn(&mut self) -> io::Result<()> {
+        let now = self.now();
+        let next = self.due.iter().map(|(at, _)| *at).min().unwrap_or(now + Duration::from_millis(100));
+        let pause = next.saturating_sub(now).min(Duration::from_millis(100));
+        match self.heard.recv_timeout(pause) {
+            Ok(note) => self.hear(note)?,
+            Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {}
+        }
+        let now = self.now();
+        let mut due: Vec<(Duration, Due)> = self.due.extract_if(.., |(at, _)| *at <= now).collect();
+        due.sort_by_key(|(at, _)| *at);
+        for (_, what) in due {
+            self.falls_due(what)?;
+        }
+        Ok(())
+    }
+
+    fn falls_due(&mut self, what: Due) -> io::Result<()> {
+        match what {
+            Due::Act(act) => self.act(act)?,
+            Due::Unlist(broker, run) => {
+                if self.brokers[broker].run == run {
+                    self.list(broker, None);
+                }
+            }
+            Due::Hangs(broker, run) => {
+                let hangs = self.brokers[broker].run == run && self.brokers[broker].process.is_some();
+                if hangs {
+                    let what = format!("b{broker} did not end after SIGTERM");
+                    self.gathered.crashed.push((self.now(), what));
+                    self.signal(broker, Signal::KILL);
+                }
+            }
+            Due::Sample => {
+                self.sample();
+                let next = Duration::from_secs(self.now().as_secs() + 1);
+                self.arm(next, Due::Sample);
+            }
+            Due::Ask => {
+                let waits: Vec<usize> =
+                    (0..self.brokers.len()).filter(|b| self.brokers[*b].started.is_some()).collect();
+                for broker in waits {
+                    self.ask_up(broker);
+                }
+                if self.brokers.iter().any(|broker| broker.started.is_some()) {
+                    self.arm(self.now() + Duration::from_millis(10), Due::Ask);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn act(&mut self, act: Act) -> io::Result<()> {
+        match act {
+            Act::Kill(broker) => {
+                self.brokers[broker].ends = true;
+                self.signal(broker, Signal::KILL);
+                let run = self.brokers[broker].run;
+                self.arm(self.now() + NOTICED, Due::Unlist(broker, run));
+            }
+            // Its old process may not be reaped yet: it is started once it is.
+            Act::Start(broker) if self.brokers[broker].process.is_some() => self.brokers[broker].again = true,
+            Act::Start(broker) => self.start(broker)?,
+            Act::Restart(broker) => {
+                let state = &mut self.brokers[broker];
+                (state.ends, state.again) = (true, true);
+                let run = state.run;
+                self.signal(broker, if self.options.rolls_kill { Signal::KILL } else { Signal::TERM });
+                self.arm(self.now() + LAST_CLIENTS, Due::Unlist(broker, run));
+                self.arm(self.now() + STOPS_IN, Due::Hangs(broker, run));
+            }
+            Act::Pause(broker) => self.signal(broker, Signal::STOP),
+            Act::Resume(broker) => self.signal(broker, Signal::CONT),
+            Act::Reload(broker) => {
+                self.brokers[broker].moved = true;
+                self.configure(broker)?;
+                self.signal(broker, Signal::HUP);
+            }
+            Act::World(WorldTell::TurnAwayUntil(until)) => {
+                self.world.tell(WorldTell::TurnAwayUntil(until + self.offset));
+            }
+            Act::World(tell) => self.world.tell(tell),
+            Act::Server(server, up) => {
+                let links = self.wires.choose(&Links::Servers(vec![server]), self.scenario);
+                self.proxy.tell(if up { ProxyTell::Up(links) } else { ProxyTell::Down(links) });
+            }
+            Act::Links(links, rule) => self.set_links(&links, rule),
+            Act::ResetLinks(links) => {
+                self.proxy.tell(ProxyTell::Reset(self.wires.choose(&links, self.scenario)));
+            }
+        }
+        Ok(())
+    }
+
+    fn set_links(&self, links: &Links, rule: Rule) {
+        self.proxy.tell(ProxyTell::Set(self.wires.choose(links, self.scenario), rule));
+    }
+
+    fn signal(&self, broker: usize, signal: Signal) {
+        if let Some(process) = &self.brokers[broker].process {
+            process.signal(signal);
+        }
+    }
+
+    fn list(&self, broker: usize, at: Option<SocketAddr>) {
+        if let Some(clients) = &self.clients {
+            clients.tell(FrontTell::Front(broker, at));
+        }
+    }
+
+    fn file(&self, broker: usize, end: &str) -> PathBuf {
+        self.options.dir.join(format!("b{broker}.{end}"))
+    }
+
+    /// Writes a broker's configuration.
+    fn configure(&self, broker: usize) -> io::Result<()> {
+        let state = &self.brokers[broker];
+        let mut settings = settings(self.scenario, broker);
+        for (path, value) in &self.options.set {
+            let target =
+                settings.pointer_mut(path).ok_or_else(|| io::Error::other(format!("no setting {path}")))?;
+            *target = value.clone();
+        }
+        let list = self.wires.list_at[broker][usize::from(state.moved)];
+        let mut config = json!({"name": format!("b{broker}"), "seed": format!("{:x}", self.scenario.seed * 1000 + broker as u64 + 1),
+            "discovery": list.to_string(), "settings": settings});
+        if let Some(hears) = self.wires.hears.get(broker) {
+            let at = |other: usize| self.wires.word_at.get(&(broker, other)).unwrap_or(hears).to_string();
+            config["peer_listen"] = hears.to_string().into();
+            config["peers"] = (0..self.scenario.brokers).map(at).collect();
+        }
+        if self.options.known {
+            let servers = (0..self.scenario.servers).map(|server| {
+                let placed = placed(self.scenario, server, server % self.scenario.cells, true);
+                let address = self.wires.tile_at[broker][server].to_string();
+                json!({"name": placed.name, "address": address, "zone": placed.zone, "group": placed.cell,
+                    "status": "up", "weight": 1.0, "since_ms": 0})
+            });
+            config["known"] = json!({"index": 1, "snapshot": true, "endpoints": servers.collect::<Vec<_>>()});
+        }
+        fs::write(self.file(broker, "json"), config.to_string())
+    }
+
+    fn start(&mut self, broker: usize) -> io::Result<()> {
+        self.configure(broker)?;
+        let mut command = Command::new(&self.options.program);
+        command
+            .env("BALANCER_CONFIG", self.file(broker, "json"))
+            .env("BALANCER_LISTEN", "127.0.0.1:0")
+            .env("BALANCER_LOG_FORMAT", "json")
+            .env("BALANCER_SERVICE", self.service()?)
+            .env_remove("BALANCER_DISCOVERY")
+            .env_remove("BALANCER_NAME")
+            .current_dir(&self.options.dir);
+        let log = self.file(broker, "log");
+        let now = self.now();
+        let state = &mut self.brokers[broker];
+        state.run += 1;
+        (state.ends, state.again, state.started, state.address) = (false, false, Some(now), None);
+        state.process = Some(Process::start(command, &log, broker, state.run, self.notes.clone())?);
+        if !self.due.iter().any(|(_, due)| *due == Due::Ask) {
+            self.arm(now, Due::Ask);
+        }
+        Ok(())
+    }
+
+    /// The operator's file of all brokers: it switches nothing on.
+    fn service(&self) -> io::Result<PathBuf> {
+        let path = self.options.dir.join("service.yaml");
+        if !path.exists() {
+            fs::write(&path, "# Nothing beyond the platform.\n")?;
+        }
+        fs::canonicalize(path)
+    }
+
+    /// Takes a broker that is starting into the front once it says that it is up.
+    fn ask_up(&mut self, broker: usize) {
+        let now = self.now();
+        let state = &mut self.brokers[broker];
+        let Some(started) = state.started else { return };
+        if now.saturating_sub(started) > STARTS_IN {
+            state.started = None;
+            let what = format!("b{broker} was not up {} s after its start", STARTS_IN.as_secs());
+            self.gathered.crashed.push((now, what));
+            return;
+        }
+        if let Some(at) = state.address.filter(|at| is_up(*at)) {
+            state.started = None;
+            state.failed = 0;
+            self.list(broker, Some(at));
+        }
+    }
+
+    fn hear(&mut self, note: Note) -> io::Result<()> {
+        let (now, state) = (self.now(), &mut self.brokers[note.broker]);
+        match note.said {
+            Said::Listens(at) if note.run == state.run => state.address = Some(at),
+            Said::Warns(_) => *self.gathered.warnings.entry(now.as_secs()).or_default() += 1,
+            Said::Ended if note.run == state.run => {
+                let Some(mut process) = state.process.take() else { return Ok(()) };
+                let status = process.reap()?;
+                state.cpu = [state.cpu[0] + state.cpu[1], 0.0];
+                self.world.tell(WorldTell::BrokerGone(note.broker));
+                // Another process may have taken its port between the choice and the bind.
+                let failed_to_start = state.started.take().is_some() && !state.ends;
+                state.failed += u32::from(failed_to_start);
+                let retry = failed_to_start && state.failed <= STARTS;
+                if !state.ends && !retry {
+                    let what = format!("b{} ended by itself: {status}", note.broker);
+                    self.gathered.crashed.push((now, what));
+                }
+                let again = state.again || retry;
+                if again {
+                    self.start(note.broker)?;
+                }
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn sample(&mut self) {
+        let (mut cpu, mut memory) = (0.0, 0.0_f64);
+        for broker in &mut self.brokers {
+            if let Some(used) = broker.process.as_ref().and_then(Process::uses) {
+                broker.cpu[1] = used.cpu;
+                memory = memory.max(used.resident as f64 / (1024.0 * 1024.0));
+            }
+            cpu += broker.cpu[0] + broker.cpu[1];
+        }
+        let second = self.now().as_secs().saturating_sub(1);
+        self.gathered.uses.insert(second, ((cpu - self.cpu_before).max(0.0), memory));
+        self.cpu_before = cpu;
+    }
+}
+
+/// The span in which an event's faults may cut frames.
+fn rough(event: &crate::scenario::Event) -> Option<(Duration, Duration)> {
+    match &event.fault {
+        Fault::Network { reset, lasts, .. } if *reset > 0.0 => Some((event.at, event.at + *lasts)),
+        Fault::LoseZone { lasts, .. } | Fault::Partition { lasts, .. } => Some((event.at, event.at + *lasts)),
+        _ => None,
+    }
+}
+
+/// Whether a broker says that it is up. It listens already, so this takes no longer than it does to answer.
+fn is_up(at: SocketAddr) -> bool {
+    use std::io::{Read, Write};
+    let ask = || -> io::Result<bool> {
+        let mut stream = TcpStream::connect_timeout(&at, Duration::from_secs(1))?;
+        stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+        stream.write_all(b"GET /up HTTP/1.1\r\nHost: up\r\nConnection: close\r\n\r\n")?;
+        let mut answer = [0; 16];
+        stream.read_exact(&mut answer[..12])?;
+        Ok(answer.starts_with(b"HTTP/1.1 200"))
+    };
+    ask().unwrap_or(false)
+}
--- a/src/net/poll.rs
+++ b/crates/poll/src/lib.rs
@@ -1,7 +1,9 @@
-//! The poller: the one place that registers sockets with it.
+//! The poller: the one place that registers sockets with it, for the broker's loop and for those of the stand-ins
+//! and the fault proxy.
 
 use std::io;
 use std::os::fd::{AsFd, AsRawFd};
+use std::sync::Arc;
 use std::time::Duration;
 
 use polling::{Event, Events, Poller};
@@ -19,7 +21,7 @@
 
 /// Wraps the poller. Sources report once and are then asked for again, so none can spin the loop.
 pub struct Poll {
-    poller: Poller,
+    poller: Arc<Poller>,
     events: Events,
 }
 
@@ -30,7 +32,7 @@
     ///
     /// When the system has no descriptors left for it.
     pub fn new() -> io::Result<Self> {
-        Ok(Poll { poller: Poller::new()?, events: Events::new() })
+        Ok(Poll { poller: Arc::new(Poller::new()?), events: Events::new() })
     }
 
     /// Registers a source.
@@ -60,6 +62,11 @@
         let _ = self.poller.delete(source);
     }
 
+    /// What ends a wait from another thread.
+    pub fn waker(&self) -> Waker {
+        Waker(self.poller.clone())
+    }
+
     /// Waits until sources are ready or the time is over, and gives those that are.
     ///
     /// # Errors
@@ -76,3 +83,15 @@
         Ok(())
     }
 }
+
+/// Ends a poller's wait from another thread.
+#[derive(Clone, Debug)]
+pub struct Waker(Arc<Poller>);
+
+impl Waker {
+    /// Ends the wait under way, or the next one.
+    pub fn wake(&self) {
+        // It fails only where the system has no memory left; the next event wakes the loop then.
+        let _ = self.0.notify();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/ledger.rs
@@ -0,0 +1,248 @@
+//! What the stand-ins saw, by second and server, and the rules of the protocol that they saw broken. No I/O.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+/// The protocol's slack: every time limit is so much longer.
+pub const SLACK: Duration = Duration::from_millis(50);
+/// Nothing new may go to a draining server so long after the broker was told.
+pub const DRAIN: Duration = Duration::from_millis(250);
+
+/// Counts of one server in one second.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Cell {
+    /// Connections that came up.
+    pub handshakes: u32,
+    /// Connections that were held at the most.
+    pub open: u32,
+    /// Connections that were closed at once, as too many were held.
+    pub refused: u32,
+    /// Parts that came.
+    pub parts: u32,
+    /// Parts that were turned away.
+    pub turned_away: u32,
+    /// Parts that failed or were never answered.
+    pub lost: u32,
+    /// Work that came to it while it was cold, in seconds of a warm worker.
+    pub cold_work: f64,
+    /// The highest share of its joint limit that a cold one was under; over 1 it fell.
+    pub strain: f64,
+    /// Probes.
+    pub probes: u32,
+}
+
+/// Calls for the list in one second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Calls {
+    /// Calls that came.
+    pub came: u32,
+    /// Calls that were turned away.
+    pub turned_away: u32,
+}
+
+/// The rules that stand-ins and clients can see broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Rule {
+    /// A part was out twice at once.
+    SecondCopy,
+    /// A keyed part ran again after its window.
+    Doubled,
+    /// A part went to a server that the broker knew was draining.
+    Drained,
+    /// A cold server fell over.
+    ColdFell,
+    /// A frame was begun and never ended.
+    CutFrame,
+    /// A frame made no sense, or a part went to a server that does not hold its shard.
+    Misplaced,
+    /// A request had no final answer in its time, or more than one.
+    NoAnswer,
+    /// An answer held what no server made for it, or was marked whole and was not.
+    WrongAnswer,
+    /// A broker ended by itself or did not start.
+    Crashed,
+}
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Breach {
+    /// When.
+    pub at: Duration,
+    /// Which.
+    pub rule: Rule,
+    /// What was seen.
+    pub what: String,
+}
+
+/// A part as its call named it.
+#[derive(Clone, Copy, Debug)]
+pub struct Named<'a> {
+    /// Its id: the query's, a dot, the shard.
+    pub id: &'a str,
+    /// The shard.
+    pub shard: u32,
+    /// The query's idempotency key, in a keyed class.
+    pub key: Option<&'a str>,
+}
+
+/// All that was seen.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    /// Counts by second and server.
+    pub cells: BTreeMap<(u64, usize), Cell>,
+    /// Calls for the list by second.
+    pub calls: BTreeMap<u64, Calls>,
+    /// Rules that were broken.
+    pub breaches: Vec<Breach>,
+    /// Keyed parts run again inside their window, which the servers make harmless.
+    pub repeated: u32,
+    /// How long a key is known after its part ran first.
+    pub window: Duration,
+    /// Parts that are out, by id: on which connection.
+    out: HashMap<String, usize>,
+    /// When each keyed part first ran.
+    ran: HashMap<(String, u32), Duration>,
+    /// When each broker was told that a server drains.
+    told: HashMap<(usize, usize), Duration>,
+}
+
+/// The broker that an id names: ids of the harness begin with `b` and its number.
+pub fn broker_of(id: &str) -> Option<usize> {
+    id.strip_prefix('b')?.split('-').next()?.parse().ok()
+}
+
+impl Ledger {
+    /// Nothing seen yet, where a key is known for so long.
+    pub fn new(window: Duration) -> Self {
+        Ledger { window, ..Ledger::default() }
+    }
+
+    /// The counts of a server in the second of `now`.
+    pub fn cell(&mut self, now: Duration, server: usize) -> &mut Cell {
+        self.cells.entry((now.as_secs(), server)).or_default()
+    }
+
+    /// Notes a broken rule.
+    pub fn breach(&mut self, at: Duration, rule: Rule, what: String) {
+        self.breaches.push(Breach { at, rule, what });
+    }
+
+    /// A broker was told that a server drains, or that it serves again.
+    pub fn told(&mut self, now: Duration, broker: usize, server: usize, draining: bool) {
+        if draining {
+            self.told.entry((broker, server)).or_insert(now);
+        } else {
+            self.told.remove(&(broker, server));
+        }
+    }
+
+    /// A broker's process is gone, and what it was told with it.
+    pub fn forget(&mut self, broker: usize) {
+        self.told.retain(|(told, _), _| *told != broker);
+    }
+
+    /// A part came whole; `begun` is when its frame's first byte did.
+    pub fn came(
+        &mut self,
+        now: Duration,
+        begun: Duration,
+        server: usize,
+        connection: usize,
+        part: Named<'_>,
+    ) {
+        if let Some(other) = self.out.insert(part.id.to_owned(), connection) {
+            let what = format!("{} came on connection {connection} while out on {other}", part.id);
+            self.breach(now, Rule::SecondCopy, what);
+        }
+        let told = broker_of(part.id).and_then(|broker| self.told.get(&(broker, server)));
+        if let Some(told) = told
+            && begun > *told + DRAIN + SLACK
+        {
+            let late = (begun - *told).as_millis();
+            let what = format!("{} went to server {server} {late} ms after word of its drain", part.id);
+            self.breach(now, Rule::Drained, what);
+        }
+    }
+
+    /// A part is run; if it is keyed, its effect takes hold.
+    pub fn runs(&mut self, now: Duration, part: Named<'_>) {
+        let Some(key) = part.key else { return };
+        let first = *self.ran.entry((key.to_owned(), part.shard)).or_insert(now);
+        if first == now {
+            return;
+        }
+        if now > first + self.window + SLACK {
+            let what = format!("{} ran again {} ms after it first did", part.id, (now - first).as_millis());
+            self.breach(now, Rule::Doubled, what);
+        } else {
+            self.repeated += 1;
+        }
+    }
+
+    /// A part on a connection is over: answered, or given up by its broker.
+    pub fn over(&mut self, connection: usize, id: &str) {
+        if self.out.get(id) == Some(&connection) {
+            self.out.remove(id);
+        }
+    }
+
+    /// A connection has ended, and all that was out on it.
+    pub fn ended(&mut self, connection: usize) {
+        self.out.retain(|_, on| *on != connection);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: Duration = Duration::from_millis(1);
+
+    fn part(id: &str) -> Named<'_> {
+        Named { id, shard: 3, key: Some("k") }
+    }
+
+    fn rules(ledger: &Ledger) -> Vec<Rule> {
+        ledger.breaches.iter().map(|breach| breach.rule).collect()
+    }
+
+    #[test]
+    fn a_part_out_twice_is_a_second_copy_until_it_is_over() {
+        let mut ledger = Ledger::default();
+        ledger.came(MS, MS, 0, 1, part("b0-1.3"));
+        ledger.over(1, "b0-1.3");
+        ledger.came(MS * 2, MS, 1, 2, part("b0-1.3"));
+        ledger.ended(2);
+        ledger.came(MS * 3, MS, 1, 3, part("b0-1.3"));
+        ledger.over(9, "b0-1.3");
+        assert_eq!(rules(&ledger), []);
+        ledger.came(MS * 4, MS, 1, 4, part("b0-1.3"));
+        assert_eq!(rules(&ledger), [Rule::SecondCopy]);
+    }
+
+    #[test]
+    fn a_keyed_part_may_run_again_inside_its_window_alone() {
+        let mut ledger = Ledger { window: MS * 100, ..Ledger::default() };
+        for at in [0, 10, 150, 151] {
+            ledger.runs(MS * at, part("b0-1.3"));
+        }
+        ledger.runs(MS * 500, Named { key: None, ..part("b0-1.3") });
+        assert_eq!((rules(&ledger), ledger.repeated), (vec![Rule::Doubled], 2));
+    }
+
+    #[test]
+    fn a_drain_binds_the_brokers_that_were_told() {
+        let mut ledger = Ledger::default();
+        ledger.told(MS * 1000, 4, 0, true);
+        ledger.told(MS * 1200, 4, 0, true);
+        ledger.came(MS * 1400, MS * 1300, 0, 1, part("b4-1.3"));
+        ledger.came(MS * 1400, MS * 1301, 0, 1, part("b5-1.3"));
+        ledger.came(MS * 1400, MS * 1301, 1, 1, part("b4-2.3"));
+        assert_eq!(rules(&ledger), []);
+        ledger.came(MS * 1400, MS * 1301, 0, 1, part("b4-3.3"));
+        assert_eq!(rules(&ledger), [Rule::Drained]);
+        ledger.forget(4);
+        ledger.came(MS * 1500, MS * 1500, 0, 1, part("b4-4.3"));
+        assert_eq!(rules(&ledger).len(), 1);
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,7 +1,12 @@
-//! A stand-in tile server on loopback: it speaks the frames of the platform's protocol and serves every part
+//! Stand-ins on loopback: a tile server that speaks the frames of the platform's protocol and serves every part
 //! with a value made from the shard and the text alone, so that two servers of a shard give the same answer.
 //!
-//! What it does with each part is a [`Manner`]; a test or the demo may change it while the server runs.
+//! What one does with each part is a [`Manner`]; a test or the demo may change it while the server runs. A
+//! [`world`] is many of them with a discovery, in one thread, with service times, cold starts and limits.
+
+pub mod ledger;
+pub mod model;
+pub mod world;
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -9,7 +14,7 @@
 use std::thread;
 
 /// Longest frame that is taken.
-const MAX_FRAME: usize = 1024 * 1024;
+pub(crate) const MAX_FRAME: usize = 1024 * 1024;
 
 /// What a server does with the parts that come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -137,8 +142,17 @@
     stream.write_all(&bytes)
 }
 
-/// One call: for each part a line and its text.
-fn call(stream: &mut TcpStream, mut rest: &[u8], shared: &Mutex<Shared>) -> io::Result<()> {
+/// A part as a call carries it.
+pub(crate) struct Called<'a> {
+    pub(crate) id: String,
+    pub(crate) shard: u32,
+    pub(crate) key: Option<String>,
+    pub(crate) text: &'a [u8],
+}
+
+/// The parts of a call: for each a line and its text.
+pub(crate) fn lines(mut rest: &[u8]) -> io::Result<Vec<Called<'_>>> {
+    let mut parts = Vec::new();
     while !rest.is_empty() {
         let end = rest.iter().position(|b| *b == b'\n').ok_or_else(|| invalid("no line"))?;
         let line = std::str::from_utf8(&rest[..end]).map_err(|_| invalid("not text"))?;
@@ -150,6 +164,13 @@
         let text = rest.get(end + 1..end + 1 + length).ok_or_else(|| invalid("the text is short"))?;
         rest = &rest[end + 1 + length..];
         let key = list.split(',').find_map(|entry| entry.strip_prefix("k=")).map(str::to_owned);
+        parts.push(Called { id, shard, key, text });
+    }
+    Ok(parts)
+}
+
+fn call(stream: &mut TcpStream, rest: &[u8], shared: &Mutex<Shared>) -> io::Result<()> {
+    for Called { id, shard, key, text } in lines(rest)? {
         let manner = {
             let mut shared = lock(shared);
             if shared.keep {
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -1034,7 +1034,42 @@
         assert_eq!(bench.backend.held(), 1);
     }
 
-    // Guards the decisions against figures that no server can mean.
+    // Guards memory and descriptors on a long day: of servers that were replaced, and of parts that were given up,
+    // answered or lost there, nothing is kept once their time is over.
+    #[test]
+    fn nothing_is_kept_of_servers_and_parts_of_old() {
+        let mut bench = bench();
+        let address = bench.server.local_addr().expect("bound");
+        let deadlines = bench.backend.settings.module.classes.iter().map(|class| class.deadline);
+        let longest = deadlines.max().expect("classes");
+        let mut now = bench.net.clock.now();
+        for number in 0..40 {
+            let server = ServerId(1000 + number);
+            bench.backend.open(server, address);
+            for (part, until) in [(2 * number, longest), (2 * number + 1, longest)] {
+                let (query, text) = (format!("q{part}").into(), "t".into());
+                let until = now.after(until);
+                let attempt = (PartId(part), 0);
+                let send = Send { attempt, server, query, shard: 0, idempotency: None, text, until };
+                bench.backend.send(&mut bench.net, now, send);
+            }
+            bench.write_all();
+            bench.backend.shut(server);
+            bench.backend.give_up(now, (PartId(2 * number), 0), Verdict::Cancelled);
+            now = now.after(longest + HEARD_AFTER);
+            bench.backend.give_up(now, (PartId(2 * number + 1), 0), Verdict::NoAnswer);
+            bench.backend.flush(&mut bench.net, now);
+            now = now.after(HEARD_AFTER * 2);
+            bench.backend.flush(&mut bench.net, now);
+            bench.backend.sweep(&bench.net, now);
+            let kept = &bench.backend;
+            let tables = [kept.servers.len(), kept.links.len(), kept.attempts.len(), kept.held.len()];
+            // The one server that `bench` lists, with none of the rest.
+            assert_eq!(tables, [1, 0, 0, 0], "servers, connections, attempts, held outcomes");
+            assert_eq!(bench.backend.done.drain(..).count(), 2, "each part has its outcome");
+        }
+    }
+
     // Guards the rule on second copies: on the churn day a part went out again on another connection 0 to 1 ms
     // after its earlier attempt was given up, before its server could have read the word (`c`, or the close).
     #[test]
@@ -1068,6 +1103,7 @@
         let _ = second;
     }
 
+    // Guards the decisions against figures that no server can mean.
     #[test]
     fn reports_that_make_no_sense_are_left_out() {
         let report = read_report("pending=nan,busy_reqs=-1;cpu_share=inf,svc_ms=2,=,%");
--- a/src/bin/badgergauge/main.rs
+++ b/src/bin/badgergauge/main.rs
@@ -1,6 +1,7 @@
 //! The broker, and the tools round it.
 
 mod demo;
+mod fleet;
 mod serve;
 mod trace;
 
@@ -15,6 +16,8 @@
 pub const REFUSED: u8 = 1;
 /// A result that is not complete was written all the same.
 pub const INCOMPLETE: u8 = 3;
+/// A run of a fleet broke a rule.
+pub const BROKEN: u8 = 4;
 
 /// A broker for sharded queries, and the tools round it.
 ///
@@ -23,7 +26,7 @@
 #[command(
     version,
     after_help = "Exit codes: 0 done, 1 input refused, 2 wrong usage, 3 a result that is not \
-    complete was written all the same.\n\nExample:\n  badgergauge demo"
+    complete was written all the same, 4 a fleet broke a rule.\n\nExample:\n  badgergauge demo"
 )]
 struct Arguments {
     #[command(subcommand)]
@@ -43,6 +46,13 @@
     /// Puts up stand-in tile servers and a broker on loopback ports, and says how to ask them.
     #[command(after_help = "Example:\n  badgergauge demo --servers 6    # and Ctrl-C when done")]
     Demo(demo::Arguments),
+    /// Runs a fleet of brokers as processes on loopback, with faults between them, and reports what was seen.
+    #[command(
+        subcommand,
+        after_help = "Example:\n  badgergauge fleet run scenarios/herd.yaml --out run && \
+        badgergauge fleet report run"
+    )]
+    Fleet(fleet::Fleet),
     /// Makes, reads, cuts, merges, masks and checks trace files.
     #[command(
         subcommand,
@@ -63,6 +73,7 @@
         Command::Serve => serve::serve(),
         Command::Check => serve::check(),
         Command::Demo(arguments) => demo::run(&arguments),
+        Command::Fleet(tool) => fleet::run(tool),
         Command::Trace(tool) => trace::run(tool),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Arguments::command(), "badgergauge", &mut io::stdout());
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,16 +4,15 @@
 pub mod clock;
 pub mod http;
 pub mod outbox;
-pub mod poll;
 pub mod wheel;
 
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 
+use badgergauge_poll::Poll;
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 
 use self::clock::Clock;
-use self::poll::Poll;
 use self::wheel::Wheel;
 use crate::core::AttemptId;
 use crate::interface::{QueryId, TimerId};
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,192 @@
+//! Fleets of the program as processes, with faults between them. Each test asserts figures of the whole fleet, and
+//! shows that they fail where the part that they rest on is taken away.
+
+use std::path::Path;
+use std::sync::{Mutex, PoisonError};
+
+use badgergauge_fleet::record::{Record, Row};
+use badgergauge_fleet::run::{self, Options};
+use badgergauge_fleet::scenario::Scenario;
+use serde_json::json;
+
+/// One fleet at a time: figures of one are not to hang on another's.
+static ALONE: Mutex<()> = Mutex::new(());
+
+fn fleet(name: &str, scenario: &str, change: impl FnOnce(&mut Options)) -> Record {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let dir = std::env::temp_dir().join(format!("badgergauge-fleet-{}-{name}", std::process::id()));
+    let mut options = Options::new(Path::new(env!("CARGO_BIN_EXE_badgergauge")), &dir, name);
+    // A run of a few seconds has few to hold it for.
+    options.hold = 3;
+    change(&mut options);
+    let scenario = Scenario::read(Path::new(name), scenario).expect("sound");
+    let record = run::run(&scenario, &options).expect("the harness does its part");
+    let _ = std::fs::remove_dir_all(&dir);
+    record
+}
+
+fn rules(record: &Record) -> Vec<&str> {
+    record.broken.iter().map(|broken| broken.rule.as_str()).collect()
+}
+
+fn sum(record: &Record, of: impl Fn(&Row) -> u32) -> u32 {
+    record.rows.iter().map(of).sum()
+}
+
+fn most(record: &Record, of: impl Fn(&Row) -> u32) -> u32 {
+    record.rows.iter().map(of).max().unwrap_or(0)
+}
+
+fn strain(record: &Record) -> f64 {
+    record.rows.iter().map(|row| row.strain).fold(0.0, f64::max)
+}
+
+const HERD: &str = "
+brokers: 8
+servers: 6
+zones: 2
+rate: 15
+seconds: 10
+on_request: true
+events:
+  - {at: 3, turn_away: {for_s: 4}}
+  - {at: 3, kill: {share: 0.7, back_s: 0.3}}
+";
+
+// Six of eight brokers are killed at once while discovery turns callers away. The list that they start on, stale as
+// it is, brings the fleet back within 3 s; without it, it is not back before discovery is.
+#[test]
+fn a_herd_of_restarted_brokers_is_back_before_discovery_is() {
+    let record = fleet("herd", HERD, |_| {});
+    assert_eq!(rules(&record), [""; 0], "{:?}", record.broken);
+    assert!(record.full_service_s.is_some_and(|took| took <= 3.0), "{:?} s", record.full_service_s);
+    // Each broker that waits for the list asks at most thrice in its first second, and seldomer from then on.
+    let calls = most(&record, |row| row.list_calls);
+    assert!((6..=3 * 8).contains(&calls), "{calls} calls for the list in a second");
+    // A server has each broker connect again, and some once more as connections stand idle: not many times each.
+    let hands = most(&record, |row| row.handshakes_most);
+    assert!(hands <= 8 * 6, "{hands} handshakes at one server in a second");
+    let blind = fleet("blind", HERD, |options| options.known = false);
+    assert!(
+        blind.full_service_s.is_none_or(|took| took > 3.0),
+        "{:?} s without a list",
+        blind.full_service_s
+    );
+}
+
+const ROLL: &str = "
+brokers: 8
+servers: 6
+zones: 2
+cells: 3
+rate: 15
+seconds: 12
+tile: {cold_s: 4}
+events:
+  - {at: 2, roll: {share: 0.25, every_s: 1.5}}
+  - {at: 3, replace: {share: 0.5, within_s: 4}}
+  - {at: 8, reload: {}}
+";
+
+// All brokers are restarted in turn while half of the servers are replaced: nobody is left without an answer, as
+// they finish what they took. Killed in place of that, they leave some.
+#[test]
+fn a_roll_of_all_brokers_over_half_the_servers_replaced_loses_nothing() {
+    let record = fleet("roll", ROLL, |_| {});
+    assert_eq!(rules(&record), [""; 0], "{:?}", record.broken);
+    assert_eq!(sum(&record, |row| row.lost), 0);
+    let (served, offered) = (sum(&record, |row| row.in_time), sum(&record, |row| row.offered));
+    assert!(served * 100 >= offered * 95, "{served} of {offered} in time");
+    assert!(
+        strain(&record) > 0.0 && strain(&record) < 1.0,
+        "cold servers under {} of their limit",
+        strain(&record)
+    );
+    let killed = fleet("killed", ROLL, |options| options.rolls_kill = true);
+    assert!(sum(&killed, |row| row.lost) > 0, "brokers that are killed lose nothing: the test shows nothing");
+}
+
+const SPLIT: &str = "
+brokers: 8
+servers: 6
+zones: 2
+cells: 3
+rate: 15
+seconds: 9
+tile: {read_lag_ms: LAG}
+events:
+  - {at: 2, servers: {share: 0.5, manner: swallow, for_s: 1}}
+  - {at: 3.5, servers: {share: 0.5, manner: swallow, for_s: 1}}
+  - {at: 5, servers: {share: 0.5, manner: swallow, for_s: 1}}
+  - {at: 2, late: {by_s: 2, for_s: 4}}
+  - {at: 3, partition: {zone: 1, for_s: 3}}
+  - {at: 2, network: {delay_ms: 1, jitter_ms: 3, reset: 0.01, for_s: 1}}
+  - {at: 6.5, network: {reset: 0.01, for_s: 1}}
+";
+
+// A zone is cut off while half of the servers swallow parts by turns, connections are reset under requests, and servers
+// read their connections up to 45 ms late. Parts that are given up go out again, and no server ever has two of one:
+// the 50 ms that the protocol gives are waited for. Where servers read later than that, there are some.
+#[test]
+fn a_split_fleet_repeats_parts_and_never_has_two_of_one_out() {
+    let record = fleet("split", &SPLIT.replace("LAG", "45"), |_| {});
+    assert_eq!(rules(&record), [""; 0], "{:?}", record.broken);
+    // Not one of many repeats is a second copy, and they are no storm either.
+    let parts = sum(&record, |row| row.parts);
+    assert!(sum(&record, |row| row.parts_lost) > 20, "hardly a part was lost: the test shows nothing");
+    assert!(record.attempts_per_part < 1.5, "{} attempts a part, {parts} parts", record.attempts_per_part);
+    let late = fleet("late", &SPLIT.replace("LAG", "400"), |_| {});
+    assert!(rules(&late).contains(&"SecondCopy"), "{:?}", rules(&late));
+}
+
+const ZONE: &str = "
+brokers: 8
+servers: 6
+zones: 2
+cells: 3
+width: 1
+rate: 20
+seconds: 9
+tile: {workers: 2, cold_s: 8, cold_from: 0.05, fall_multiple: 1}
+events:
+  - {at: 2, lose_zone: {zone: 1, for_s: 1.5}}
+";
+
+// A zone's servers come back cold, to a fleet that asks more of them than they can do. All brokers together stay
+// under what makes one fall; where brokers take a cold server for a warm one, it falls.
+#[test]
+fn a_zone_that_comes_back_cold_is_spared_by_all_brokers_together() {
+    let record = fleet("zone", ZONE, |_| {});
+    assert_eq!(rules(&record), [""; 0], "{:?}", record.broken);
+    assert!(strain(&record) > 0.1 && strain(&record) < 1.0, "{} of the joint limit", strain(&record));
+    let unaware = fleet("unaware", ZONE, |options| options.set = vec![("/safety/coldNs".into(), json!(1))]);
+    assert!(
+        rules(&unaware).contains(&"ColdFell"),
+        "{:?}, {} of the limit",
+        rules(&unaware),
+        strain(&unaware)
+    );
+}
+
+const KEYED: &str = "
+brokers: 5
+servers: 6
+zones: 2
+cells: 3
+rate: 20
+seconds: 5
+tile: {service_ms: 80, workers: 16}
+events:
+  - {at: 1, network: {reset: 0.05, for_s: 4}}
+";
+
+// Connections are reset under requests and answers: keyed parts run again, inside their window, and no effect is
+// doubled. Servers that forget keys at once show that there were some.
+#[test]
+fn keyed_parts_are_repeated_inside_their_window_alone() {
+    let record = fleet("keyed", KEYED, |_| {});
+    assert_eq!(rules(&record), [""; 0], "{:?}", record.broken);
+    assert!(record.repeated > 0, "no keyed part was repeated: the test shows nothing");
+    let doubled = fleet("doubled", KEYED, |options| options.window = std::time::Duration::ZERO);
+    assert!(rules(&doubled).contains(&"Doubled"), "{:?}, {} repeated", rules(&doubled), doubled.repeated);
+}
