--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -93,6 +93,19 @@
     pub what: String,
 }
 
+/// What one broker's processes used and said, over all of its starts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Used {
+    /// Starts.
+    pub starts: u32,
+    /// Processor time, in seconds.
+    pub cpu: f64,
+    /// The most resident memory, in MB.
+    pub memory_mb: f64,
+    /// Warnings in its log.
+    pub warnings: u32,
+}
+
 /// A whole run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
@@ -121,6 +134,8 @@
     pub attempts_per_part: f64,
     /// Keyed parts that ran again inside their window.
     pub repeated: u32,
+    /// By broker.
+    pub used: Vec<Used>,
     /// Rules that were broken.
     pub broken: Vec<Broken>,
 }
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -19,7 +19,7 @@
 use crate::load::{Class, Clients, Load, Tell as FrontTell};
 use crate::process::{Note, Process, Said};
 use crate::proxy::{Builder, Link, Proxy, Rule, Tell as ProxyTell};
-use crate::record::{self, Broken, Gathered, Record};
+use crate::record::{self, Broken, Gathered, Record, Used};
 use crate::scenario::{Fault, Scenario};
 use crate::schedule::{Act, Links, Schedule, zone_of};
 
@@ -58,6 +58,8 @@
     /// Whether a broker starts with the list as it was at the run's start, as the platform gives one; else it
     /// knows no server until discovery has told it.
     pub known: bool,
+    /// A broker that has not come up in this time has not started.
+    pub starts_in: Duration,
     /// Rolls kill brokers in place of telling them to end: to see what that costs.
     pub rolls_kill: bool,
 }
@@ -74,6 +76,7 @@
             window: WINDOW,
             hold: HOLD,
             known: true,
+            starts_in: STARTS_IN,
             rolls_kill: false,
         }
     }
@@ -185,6 +188,8 @@
     moved: bool,
     /// Processor time of its processes that have ended, and the last figure of the running one.
     cpu: [f64; 2],
+    memory_mb: f64,
+    warnings: u32,
 }
 
 /// What falls due for the runner itself.
@@ -380,6 +385,12 @@
         let ms = |quantile: f64| seen.times.value_at_quantile(quantile) as f64 / 1e3;
         let at = |at: Duration| at.as_secs_f64() - self.offset.as_secs_f64();
         let broken = broken.into_iter();
+        let used = |broker: &Broker| Used {
+            starts: broker.run,
+            cpu: broker.cpu[0] + broker.cpu[1],
+            memory_mb: broker.memory_mb,
+            warnings: broker.warnings,
+        };
         let record = Record {
             name: self.options.name.clone(),
             brokers: self.scenario.brokers,
@@ -392,6 +403,7 @@
             lateness_ms: seen.lateness.as_secs_f64() * 1e3,
             attempts_per_part: f64::from(parts) / (f64::from(asked.max(1)) * self.scenario.parts as f64),
             repeated: ledger.repeated,
+            used: self.brokers.iter().map(used).collect(),
             broken: broken
                 .map(|b| Broken { at: at(b.at), rule: format!("{:?}", b.rule), what: b.what })
                 .collect(),
@@ -582,9 +594,9 @@
         let now = self.now();
         let state = &mut self.brokers[broker];
         let Some(started) = state.started else { return };
-        if now.saturating_sub(started) > STARTS_IN {
+        if now.saturating_sub(started) > self.options.starts_in {
             state.started = None;
-            let what = format!("b{broker} was not up {} s after its start", STARTS_IN.as_secs());
+            let what = format!("b{broker} was not up {:?} after its start", self.options.starts_in);
             self.gathered.crashed.push((now, what));
             return;
         }
@@ -599,7 +611,10 @@
         let (now, state) = (self.now(), &mut self.brokers[note.broker]);
         match note.said {
             Said::Listens(at) if note.run == state.run => state.address = Some(at),
-            Said::Warns(_) => *self.gathered.warnings.entry(now.as_secs()).or_default() += 1,
+            Said::Warns(_) => {
+                state.warnings += 1;
+                *self.gathered.warnings.entry(now.as_secs()).or_default() += 1;
+            }
             Said::Ended if note.run == state.run => {
                 let Some(mut process) = state.process.take() else { return Ok(()) };
                 let status = process.reap()?;
@@ -628,7 +643,9 @@
         for broker in &mut self.brokers {
             if let Some(used) = broker.process.as_ref().and_then(Process::uses) {
                 broker.cpu[1] = used.cpu;
-                memory = memory.max(used.resident as f64 / (1024.0 * 1024.0));
+                let resident = used.resident as f64 / (1024.0 * 1024.0);
+                broker.memory_mb = broker.memory_mb.max(resident);
+                memory = memory.max(resident);
             }
             cpu += broker.cpu[0] + broker.cpu[1];
         }
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -103,8 +103,9 @@
     Reload,
     /// A zone's servers are gone without a word for a while, and come back cold.
     LoseZone { zone: usize, lasts: Duration },
-    /// A zone is cut off: its brokers and servers reach those of no other zone, nor these them.
-    Partition { zone: usize, lasts: Duration },
+    /// A zone is cut off: its brokers and servers reach those of no other zone, nor these them. `one_way`: what
+    /// brokers send across still arrives, and nothing comes back.
+    Partition { zone: usize, one_way: bool, lasts: Duration },
     /// So many of the servers are replaced by new ones, one after the other.
     Replace { share: f64, within: Duration },
     /// So many of the servers do something else with parts for a while.
@@ -177,7 +178,7 @@
     pause: Option<Some2>,
     reload: Option<Nothing>,
     lose_zone: Option<OfZone>,
-    partition: Option<OfZone>,
+    partition: Option<Split>,
     replace: Option<Some2>,
     servers: Option<OfServers>,
     late: Option<Lateness>,
@@ -207,6 +208,15 @@
     for_s: Spanned<f64>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Split {
+    zone: Spanned<u64>,
+    #[serde(default)]
+    one_way: bool,
+    for_s: Spanned<f64>,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct OfServers {
@@ -388,14 +398,15 @@
         if self.reload.is_some() {
             faults.push(Fault::Reload);
         }
-        for (event, name) in [(&self.lose_zone, "lose_zone"), (&self.partition, "partition")] {
-            let Some(event) = event else { continue };
-            let zone = checks.count(&key(&format!("{name}.zone")), &event.zone, 0, zones as u64 - 1);
-            let lasts = checks.seconds(&key(&format!("{name}.for_s")), &event.for_s);
-            faults.push(match name {
-                "lose_zone" => Fault::LoseZone { zone, lasts },
-                _ => Fault::Partition { zone, lasts },
-            });
+        if let Some(event) = &self.lose_zone {
+            let zone = checks.count(&key("lose_zone.zone"), &event.zone, 0, zones as u64 - 1);
+            faults
+                .push(Fault::LoseZone { zone, lasts: checks.seconds(&key("lose_zone.for_s"), &event.for_s) });
+        }
+        if let Some(event) = &self.partition {
+            let zone = checks.count(&key("partition.zone"), &event.zone, 0, zones as u64 - 1);
+            let lasts = checks.seconds(&key("partition.for_s"), &event.for_s);
+            faults.push(Fault::Partition { zone, one_way: event.one_way, lasts });
         }
         if let Some(event) = &self.replace {
             let share = checks.figure(&key("replace.share"), &event.share, 0.0, 1.0);
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -119,8 +119,9 @@
                 lost.iter().for_each(|server| act(at + *lasts, Act::World(World::Start(*server))));
                 act(at + *lasts, Act::Links(Links::Servers(lost), Rule::default()));
             }
-            Fault::Partition { zone, lasts } => {
-                act(at, Act::Links(Links::AcrossZone(*zone), Rule::cut()));
+            Fault::Partition { zone, one_way, lasts } => {
+                let rule = Rule { cut_there: !one_way, ..Rule::cut() };
+                act(at, Act::Links(Links::AcrossZone(*zone), rule));
                 act(at + *lasts, Act::Links(Links::AcrossZone(*zone), Rule::default()));
             }
             Fault::Replace { share, within } => {
--- a/crates/fleet/tests/faults.rs
+++ b/crates/fleet/tests/faults.rs
@@ -152,7 +152,7 @@
         workers: 2,
         service: Duration::from_millis(1),
         queue: 10,
-        connections: 2,
+        connections: 5,
         cold_from: 0.2,
         cold_for: Duration::from_secs(10),
         fall_multiple: 2.0,
@@ -220,6 +220,17 @@
     one.write_all(&framed("p")).expect("written");
     assert_eq!(answer(&mut one), "pserved");
     assert_eq!(found(&world), []);
+    // Nor is it one once the network has reset the connection of the first.
+    let mut third = connect(0);
+    third.write_all(&part("b0-7.0", 0, "k7")).expect("written");
+    third.write_all(&framed("p")).expect("written");
+    assert_eq!(answer(&mut third), "pserved", "both were read");
+    socket2::SockRef::from(&third).set_linger(Some(Duration::ZERO)).expect("set");
+    drop(third);
+    one.write_all(&part("b0-7.0", 0, "k7")).expect("written");
+    one.write_all(&framed("p")).expect("written");
+    assert_eq!(answer(&mut one), "pserved");
+    assert_eq!(found(&world), []);
     // At a server that does not hold the shard, and a frame that is no use.
     one.write_all(&part("b0-4.1", 1, "k4")).expect("written");
     until(|| found(&world) == [Broken::Misplaced]);
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -141,6 +141,11 @@
         self.told.retain(|(told, _), _| *told != broker);
     }
 
+    /// The connection on which a part is out.
+    pub fn out_on(&self, id: &str) -> Option<usize> {
+        self.out.get(id).copied()
+    }
+
     /// A part came whole; `begun` is when its frame's first byte did.
     pub fn came(
         &mut self,
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -469,7 +469,8 @@
                 Ok(0) => break true,
                 Ok(read) => link.bytes.extend_from_slice(&buffer[..read]),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break false,
-                Err(_) => break true,
+                // The network has ended it, or its broker's process has: nobody waits for what came before.
+                Err(_) => return self.drop_link(key, false),
             }
         };
         match link.which {
@@ -535,6 +536,7 @@
         };
         for part in parts {
             let named = Named { id: &part.id, shard: part.shard, key: part.key.as_deref() };
+            self.notice_reset(&part.id);
             lock(&self.ledger).came(now, begun, server, key, named);
             let (cell, cells) = (self.setting.servers[server].cell, self.setting.cells.max(1));
             let holds = (0..self.setting.width).any(|n| (part.shard + n) % cells == cell % cells);
@@ -593,6 +595,18 @@
         }
     }
 
+    /// A part whose connection the network has reset is over, also where this server has yet to look. What its
+    /// broker ended by a close or said in a frame is over once it is read.
+    fn notice_reset(&mut self, id: &str) {
+        let Some(on) = lock(&self.ledger).out_on(id) else { return };
+        let Some(link) = self.links.get(&on) else { return };
+        // What came before a reset may stand unread before it, so reading would not show it.
+        if matches!(link.stream.take_error(), Ok(Some(error)) if error.kind() == io::ErrorKind::ConnectionReset)
+        {
+            self.drop_link(on, false);
+        }
+    }
+
     fn call_for_list(&mut self, now: Duration, key: usize, broker: usize) {
         let Some(link) = self.links.get_mut(&key).filter(|link| !link.watching) else { return };
         if !link.bytes.windows(4).any(|four| four == b"\r\n\r\n") {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -190,3 +190,46 @@
     let doubled = fleet("doubled", KEYED, |options| options.window = std::time::Duration::ZERO);
     assert!(rules(&doubled).contains(&"Doubled"), "{:?}, {} repeated", rules(&doubled), doubled.repeated);
 }
+
+const PAIR: &str = "
+brokers: 2
+servers: 2
+rate: 5
+seconds: 1
+";
+
+/// A program in place of the broker's.
+fn script(name: &str, text: &str) -> std::path::PathBuf {
+    use std::os::unix::fs::PermissionsExt;
+    let path = std::env::temp_dir().join(format!("badgergauge-fleet-{}-{name}.sh", std::process::id()));
+    std::fs::write(&path, format!("#!/bin/sh\n{text}\n")).expect("written");
+    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o700)).expect("set");
+    path
+}
+
+// A broker that dies as it starts, as one does whose port was taken meanwhile, is started again, and no run waits
+// for ever for one that never starts or that hangs.
+#[test]
+fn a_broker_that_dies_or_hangs_as_it_starts_is_started_again_or_ends_the_run() {
+    let real = env!("CARGO_BIN_EXE_badgergauge");
+    let once = script(
+        "once",
+        &format!("if mkdir \"$BALANCER_CONFIG.tried\" 2>/dev/null; then exit 1; fi\nexec {real}"),
+    );
+    let record = fleet("once", PAIR, |options| options.program.clone_from(&once));
+    assert_eq!(rules(&record), [""; 0], "{:?}", record.broken);
+    assert_eq!(record.used.iter().map(|used| used.starts).collect::<Vec<_>>(), [2, 2]);
+    let scenario = Scenario::read(Path::new("pair"), PAIR).expect("sound");
+    for (name, text, said) in
+        [("dies", "exit 1", "ended by itself"), ("hangs", "exec sleep 1000", "was not up")]
+    {
+        let program = script(name, text);
+        let dir = std::env::temp_dir().join(format!("badgergauge-fleet-{}-{name}", std::process::id()));
+        let mut options = Options::new(&program, &dir, name);
+        options.starts_in = std::time::Duration::from_millis(500);
+        let fault = run::run(&scenario, &options).expect_err("no broker starts").to_string();
+        assert!(fault.contains(said), "{fault}");
+        let _ = (std::fs::remove_dir_all(&dir), std::fs::remove_file(&program));
+    }
+    let _ = std::fs::remove_file(&once);
+}
