A store keeps how servers stood over a restart: drains hold over a crash of the fleet

Need: a restarted broker knows no more than the list it was started with. Seen with the harness: six brokers killed after half of the servers drained, started on a list from before that while discovery turns callers away, send parts to drained servers, whether they had no store or one that was wiped or cut to half meanwhile.

Measured: that scenario with the store: no part to a drained server, over 95% served two seconds after the crash.

--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -58,6 +58,8 @@
     /// Whether a broker starts with the list as it was at the run's start, as the platform gives one; else it
     /// knows no server until discovery has told it.
     pub known: bool,
+    /// A drain that a broker was told binds it over a restart too, as it has a store; on the platform nothing does.
+    pub drains_hold: bool,
     /// A broker that has not come up in this time has not started.
     pub starts_in: Duration,
     /// Rolls kill brokers in place of telling them to end: to see what that costs.
@@ -76,6 +78,7 @@
             window: WINDOW,
             hold: HOLD,
             known: true,
+            drains_hold: false,
             starts_in: STARTS_IN,
             rolls_kill: false,
         }
@@ -487,6 +490,19 @@
             }
             Act::Pause(broker) => self.signal(broker, Signal::STOP),
             Act::Resume(broker) => self.signal(broker, Signal::CONT),
+            Act::Cut(broker) => {
+                let path = self.file(broker, "state");
+                if path.exists() {
+                    let file = fs::File::options().write(true).open(&path)?;
+                    file.set_len(file.metadata()?.len() / 2)?;
+                }
+            }
+            Act::Wipe(broker) => {
+                let path = self.file(broker, "state");
+                if path.exists() {
+                    fs::remove_file(path)?;
+                }
+            }
             Act::Reload(broker) => {
                 self.brokers[broker].moved = true;
                 self.configure(broker)?;
@@ -564,7 +580,7 @@
             .env("BALANCER_CONFIG", self.file(broker, "json"))
             .env("BALANCER_LISTEN", "127.0.0.1:0")
             .env("BALANCER_LOG_FORMAT", "json")
-            .env("BALANCER_SERVICE", self.service()?)
+            .env("BALANCER_SERVICE", self.service(broker)?)
             .env_remove("BALANCER_DISCOVERY")
             .env_remove("BALANCER_NAME")
             .current_dir(&self.options.dir);
@@ -580,12 +596,15 @@
         Ok(())
     }
 
-    /// The operator's file of all brokers: it switches nothing on.
-    fn service(&self) -> io::Result<PathBuf> {
-        let path = self.options.dir.join("service.yaml");
-        if !path.exists() {
-            fs::write(&path, "# Nothing beyond the platform.\n")?;
+    /// A broker's operator's file: the store, where it has one, and nothing else.
+    fn service(&self, broker: usize) -> io::Result<PathBuf> {
+        let path = self.file(broker, "yaml");
+        let mut text = "# What goes beyond the platform.\n".to_owned();
+        if self.scenario.store {
+            let state = fs::canonicalize(&self.options.dir)?.join(format!("b{broker}.state"));
+            text += &format!("store: {{path: \"{}\"}}\n", state.display());
         }
+        fs::write(&path, text)?;
         fs::canonicalize(path)
     }
 
@@ -619,7 +638,9 @@
                 let Some(mut process) = state.process.take() else { return Ok(()) };
                 let status = process.reap()?;
                 state.cpu = [state.cpu[0] + state.cpu[1], 0.0];
-                self.world.tell(WorldTell::BrokerGone(note.broker));
+                if !self.options.drains_hold {
+                    self.world.tell(WorldTell::BrokerGone(note.broker));
+                }
                 // Another process may have taken its port between the choice and the bind.
                 let failed_to_start = state.started.take().is_some() && !state.ends;
                 state.failed += u32::from(failed_to_start);
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -55,6 +55,8 @@
     pub tile: Tile,
     /// Whether the list comes only to who asks for it.
     pub on_request: bool,
+    /// Whether brokers have a store that lasts.
+    pub store: bool,
     /// The timeline, in the file's order.
     pub events: Vec<Event>,
 }
@@ -99,6 +101,9 @@
     Roll { share: f64, every: Duration },
     /// So many of the brokers are stopped for a while (SIGSTOP, SIGCONT).
     Pause { share: f64, lasts: Duration },
+    /// So many of the brokers' stores are wiped or cut to half their length, where they have one; brokers that run
+    /// keep theirs open, so it is for those that were killed.
+    Stores { share: f64, cut: bool },
     /// Discovery moves: brokers get a new file and SIGHUP.
     Reload,
     /// A zone's servers are gone without a word for a while, and come back cold.
@@ -151,6 +156,8 @@
     #[serde(default)]
     on_request: bool,
     #[serde(default)]
+    store: bool,
+    #[serde(default)]
     tile: TileFile,
     #[serde(default)]
     events: Vec<EventFile>,
@@ -176,6 +183,8 @@
     kill: Option<Some2>,
     roll: Option<Some2>,
     pause: Option<Some2>,
+    wipe_stores: Option<Share>,
+    cut_stores: Option<Share>,
     reload: Option<Nothing>,
     lose_zone: Option<OfZone>,
     partition: Option<Split>,
@@ -197,6 +206,12 @@
     within_s: Option<Spanned<f64>>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Share {
+    share: Spanned<f64>,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Nothing {}
@@ -355,7 +370,7 @@
                 checks.fault(event.at.referenced.line(), &format!("events[{n}]"), said);
             }
         }
-        let (seed, on_request) = (file.seed.unwrap_or(1), file.on_request);
+        let (seed, on_request, store) = (file.seed.unwrap_or(1), file.on_request, file.store);
         let scenario = Scenario {
             brokers,
             servers,
@@ -368,6 +383,7 @@
             seed,
             tile,
             on_request,
+            store,
             events,
         };
         if checks.faults.is_empty() { Ok(scenario) } else { Err(checks.faults) }
@@ -395,6 +411,14 @@
             let lasts = checks.needed(&key("pause.for_s"), line, event.for_s.as_ref());
             faults.push(Fault::Pause { share, lasts });
         }
+        for (event, name, cut) in
+            [(&self.wipe_stores, "wipe_stores", false), (&self.cut_stores, "cut_stores", true)]
+        {
+            if let Some(event) = event {
+                let share = checks.figure(&key(&format!("{name}.share")), &event.share, 0.0, 1.0);
+                faults.push(Fault::Stores { share, cut });
+            }
+        }
         if self.reload.is_some() {
             faults.push(Fault::Reload);
         }
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -28,6 +28,10 @@
     Pause(usize),
     /// It goes on.
     Resume(usize),
+    /// Its store is wiped.
+    Wipe(usize),
+    /// Its store is cut to half its length.
+    Cut(usize),
     /// It gets a file that moves discovery, and SIGHUP.
     Reload(usize),
     /// The stand-ins are told so.
@@ -108,6 +112,11 @@
                     act(at + *lasts, Act::Resume(broker));
                 }
             }
+            Fault::Stores { share, cut } => {
+                for broker in some(rng, brokers, *share) {
+                    act(at, if *cut { Act::Cut(broker) } else { Act::Wipe(broker) });
+                }
+            }
             Fault::Reload => (0..brokers).for_each(|broker| act(at, Act::Reload(broker))),
             Fault::LoseZone { zone, lasts } => {
                 let lost: Vec<usize> =
--- a/src/bin/badgergauge/main.rs
+++ b/src/bin/badgergauge/main.rs
@@ -3,6 +3,7 @@
 mod demo;
 mod fleet;
 mod serve;
+mod store;
 mod trace;
 
 use std::io;
@@ -53,6 +54,9 @@
         badgergauge fleet report run"
     )]
     Fleet(fleet::Fleet),
+    /// Looks into the store of a broker that is not running.
+    #[command(subcommand, after_help = "Example:\n  badgergauge store info /var/lib/badgergauge/state")]
+    Store(store::Tool),
     /// Makes, reads, cuts, merges, masks and checks trace files.
     #[command(
         subcommand,
@@ -74,6 +78,7 @@
         Command::Check => serve::check(),
         Command::Demo(arguments) => demo::run(&arguments),
         Command::Fleet(tool) => fleet::run(tool),
+        Command::Store(tool) => store::run(tool),
         Command::Trace(tool) => trace::run(tool),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Arguments::command(), "badgergauge", &mut io::stdout());
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -24,6 +24,7 @@
 use crate::net::http::Response;
 use crate::net::{Due, Net};
 use crate::record::Tape;
+use crate::state::Keeper;
 use crate::word;
 
 const LISTEN: usize = 0;
@@ -103,6 +104,8 @@
     core: Core,
     /// The trace, where it is on.
     tape: Option<Tape>,
+    /// What lasts over a restart, where it is on.
+    keeper: Option<Keeper>,
     backend: Backend,
     /// Where the list of servers comes from: one source alone, as each gives it whole.
     watch: Option<Watch>,
@@ -161,7 +164,8 @@
         let most_clients = (config.bounds.sockets - RESERVED - backend_links).min(by_memory).max(1);
         let mut backend = Backend::new(settings.clone(), backend_links);
         let known = config.known.take().map(|known| Listing::from_value(&known, &clock)).transpose();
-        let known = known.map_err(|fault| invalid(format!("known.{fault}")))?;
+        let mut known = known.map_err(|fault| invalid(format!("known.{fault}")))?;
+        let keeper = Keeper::open(&config, clock, &mut known)?;
         let index = known.as_ref().map_or(0, |list| list.index);
         if let Some(mut list) = known {
             list.whole = true;
@@ -207,6 +211,7 @@
             net,
             core,
             tape,
+            keeper,
             backend,
             watch,
             peers,
@@ -611,6 +616,9 @@
         let result = watch.ready(now, &mut lists);
         for list in lists {
             take_list(&mut self.core, &mut self.backend, &list);
+            if let Some(keeper) = &mut self.keeper {
+                keeper.note(&list);
+            }
         }
         match (result, watch.stream()) {
             (Ok(()), Some(stream)) => {
@@ -672,6 +680,9 @@
             return;
         }
         tracing::info!("reload: discovery is now at {address}, {} open", self.core.open());
+        if let Some(keeper) = &mut self.keeper {
+            keeper.moved(address);
+        }
         if let Some(stream) = watch.move_to(address) {
             self.net.poll.remove(&stream);
         }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -172,6 +172,7 @@
             ("limits", self.bounds == running.bounds),
             ("settings", self.settings == running.settings),
             ("log", self.service.log == running.service.log),
+            ("store", self.service.store == running.service.store),
         ];
         keys.into_iter().filter_map(|(key, same)| (!same).then_some(key)).collect()
     }
--- a/src/config/service.rs
+++ b/src/config/service.rs
@@ -1,4 +1,4 @@
-//! The operator's file for what goes beyond the platform: the log and the trace. Off while it says nothing.
+//! The operator's file for what goes beyond the platform: the log, the trace and the store. Off while it says nothing.
 
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -26,6 +26,8 @@
     pub log: Log,
     /// The trace, where it is on.
     pub trace: Option<Trace>,
+    /// The store's file, where it is on.
+    pub store: Option<PathBuf>,
 }
 
 /// What is logged, and how.
@@ -65,6 +67,13 @@
 struct File {
     log: Option<LogFile>,
     trace: Option<TraceFile>,
+    store: Option<StoreFile>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct StoreFile {
+    path: Spanned<String>,
 }
 
 #[derive(Default, Deserialize)]
@@ -177,6 +186,12 @@
                 service.trace = Some(Trace { dir, file_bytes, file_age, total_bytes, queue, sample });
             }
         }
+        if let Some(store) = file.store {
+            if store.path.value.is_empty() {
+                faults.push(at(store.path.referenced.line(), "store.path", "must not be empty".into()));
+            }
+            service.store = Some(store.path.value.into());
+        }
         if faults.is_empty() { Ok(service) } else { Err(faults) }
     }
 }
@@ -211,6 +226,8 @@
             s.yaml: line 9: trace.sample.other: no such class\n\
             s.yaml: line 8: trace.sample.search: must be 0 to 1";
         assert_eq!(faults, expected);
+        let empty = read("store:\n  path: \"\"\n").expect_err("faulty");
+        assert_eq!(empty, "s.yaml: line 2: store.path: must not be empty");
         let unknown = read("trace:\n  dir: d\n  sise: 1\n").expect_err("faulty");
         assert!(unknown.starts_with("s.yaml: line 3: ") && unknown.contains("sise"), "{unknown}");
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod log;
 pub mod net;
 pub mod record;
+pub mod state;
 
 pub use badgergauge_core::{core, decide, interface, word};
 
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,322 @@
+//! The store beside the broker, where the operator's file switches it on: what of it is believed at the start, and
+//! each list noted as it comes. What is believed is decided in [`badgergauge_store::plan`].
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use badgergauge_store::engine::{Fault, Owner, Store, set_aside};
+use badgergauge_store::plan::{Belief, Listed, Stored, Why, plan};
+use badgergauge_store::record::{Server, Standing, check};
+use badgergauge_store::writer::Writer;
+
+use crate::config::Config;
+use crate::core::Member;
+use crate::discovery::Listing;
+use crate::interface::{ServerState, Time};
+use crate::net::clock::Clock;
+
+/// Whatever discovery has to tell counts as told so much later at the latest, says the protocol: an `up` that was
+/// noted longer ago may have been taken back since.
+const UP_FOR: Duration = Duration::from_secs(6);
+/// Servers that are gone are kept, as a list of old may still have them: as many as there are in the list, and so
+/// many at the least. The oldest go first.
+const LEAST_GONE: usize = 64;
+
+/// The store of a running broker.
+pub struct Keeper {
+    writer: Writer,
+    clock: Clock,
+    discovery: String,
+    listed: BTreeSet<String>,
+    gone: VecDeque<String>,
+}
+
+fn standing(state: ServerState) -> Standing {
+    match state {
+        ServerState::Up => Standing::Up,
+        ServerState::Draining => Standing::Draining,
+        ServerState::Removed => Standing::Gone,
+    }
+}
+
+/// Whose store a broker's is. The installation is told by what its list and its queries hang on.
+pub fn owner(config: &Config) -> Owner {
+    let module = &config.settings.module;
+    let site = format!(
+        "{:?} {:?} {} {} {}",
+        config.settings.zones, config.settings.classes, module.shards, module.cells, module.width
+    );
+    Owner { name: config.name.clone(), site: format!("{:08x}", check("site", site.as_bytes())) }
+}
+
+/// Unix time, in milliseconds.
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+fn started_ms(clock: &Clock, started: Option<Time>) -> u64 {
+    let Some(started) = started else { return 0 };
+    let nanos = i128::from(clock.unix_at_zero()) + i128::from(started.0);
+    u64::try_from(nanos / 1_000_000).unwrap_or(0)
+}
+
+/// What a start with this list would believe of what was stored.
+///
+/// # Errors
+///
+/// Says why nothing is believed.
+pub fn beliefs(
+    clock: &Clock,
+    discovery: &str,
+    known: Option<&Listing>,
+    stored: &Stored,
+) -> Result<BTreeMap<String, Belief>, String> {
+    let members = known.map_or(&[][..], |list| &list.members);
+    let listed = members.iter().map(|(member, _)| {
+        let started_ms = started_ms(clock, member.started);
+        (member.name.clone(), Listed { standing: standing(member.state), started_ms })
+    });
+    let index = known.map_or(0, |list| list.index);
+    plan(unix_ms(), UP_FOR.as_millis() as u64, discovery, index, &listed.collect(), stored)
+        .map_err(|_| format!("it came from another discovery, {:?}", stored.discovery))
+}
+
+/// The list as it is believed.
+fn believed(
+    clock: &Clock,
+    known: Option<Listing>,
+    beliefs: &BTreeMap<String, Belief>,
+    stored: &Stored,
+) -> Listing {
+    let known = known.unwrap_or(Listing { index: 0, whole: true, members: Vec::new() });
+    let mut members: BTreeMap<String, (Member, Option<SocketAddr>)> =
+        known.members.into_iter().map(|line| (line.0.name.clone(), line)).collect();
+    for (name, belief) in beliefs.iter().filter(|(_, belief)| belief.of_store) {
+        let Some(server) = stored.servers.get(name) else { continue };
+        let state = match belief.standing {
+            Standing::Up if server.address.is_some() => ServerState::Up,
+            Standing::Draining => ServerState::Draining,
+            Standing::Up | Standing::Gone => {
+                members.remove(name);
+                continue;
+            }
+        };
+        let Server { zone, cell, started_ms, .. } = server.clone();
+        let started = clock.at_unix(started_ms);
+        let member = Member { name: name.clone(), zone, cell, state, started };
+        members.insert(name.clone(), (member, server.address));
+    }
+    Listing { members: members.into_values().collect(), ..known }
+}
+
+impl Keeper {
+    /// Opens the store, if there is to be one, and changes the list at the start to what is believed. A store that
+    /// can't be used is set aside, with a line that says why, and the broker starts as new.
+    ///
+    /// # Errors
+    ///
+    /// When another process has the store open, or none can be made.
+    pub fn open(config: &Config, clock: Clock, known: &mut Option<Listing>) -> io::Result<Option<Self>> {
+        let (Some(path), Some(discovery)) = (&config.service.store, config.discovery) else {
+            return Ok(None);
+        };
+        let refused = |fault: Fault| {
+            let kind = if fault == Fault::Locked { io::ErrorKind::AddrInUse } else { io::ErrorKind::Other };
+            io::Error::new(kind, format!("store {}: {fault}", path.display()))
+        };
+        let owner = owner(config);
+        let (store, stored) = match Store::open(path, &owner) {
+            Ok(opened) => opened,
+            Err(fault @ (Fault::Locked | Fault::Refused(_))) => return Err(refused(fault)),
+            Err(fault) => {
+                let aside = set_aside(path)?;
+                tracing::warn!("store: set aside as {}: {fault}", aside.display());
+                Store::open(path, &owner).map_err(refused)?
+            }
+        };
+        let discovery = discovery.to_string();
+        tell(path, &stored, store.head().opened);
+        let mut keeper = Keeper {
+            writer: Writer::start(store, |fault| tracing::warn!("store: not written: {fault}"))?,
+            clock,
+            discovery,
+            listed: BTreeSet::new(),
+            gone: VecDeque::new(),
+        };
+        if stored.servers.is_empty() {
+            return Ok(Some(keeper));
+        }
+        match beliefs(&clock, &keeper.discovery, known.as_ref(), &stored) {
+            Ok(beliefs) => {
+                for (name, belief) in beliefs.iter().filter(|(_, b)| b.of_store && b.why != Why::Listed) {
+                    tracing::info!("store: {name}: {}", belief.why);
+                }
+                *known = Some(believed(&clock, known.take(), &beliefs, &stored));
+            }
+            Err(why) => tracing::warn!("store: nothing of it is believed: {why}"),
+        }
+        for (name, server) in stored.servers {
+            match server.standing {
+                Standing::Gone => keeper.gone.push_back(name),
+                _ => drop(keeper.listed.insert(name)),
+            }
+        }
+        Ok(Some(keeper))
+    }
+
+    /// Notes a list of discovery's.
+    pub fn note(&mut self, list: &Listing) {
+        let noted_ms = unix_ms();
+        let mut changes = BTreeMap::new();
+        let mut here = BTreeSet::new();
+        for (member, address) in &list.members {
+            let (zone, cell) = (member.zone.clone(), member.cell);
+            let (standing, started_ms) = (standing(member.state), started_ms(&self.clock, member.started));
+            let server = Server { standing, zone, cell, address: *address, started_ms, noted_ms };
+            if standing == Standing::Gone {
+                self.leaves(&member.name);
+            } else {
+                self.listed.insert(member.name.clone());
+                self.gone.retain(|name| *name != member.name);
+                here.insert(member.name.clone());
+            }
+            changes.insert(member.name.clone(), Some(server));
+        }
+        if list.whole {
+            // A whole list tells by leaving out: whatever process an older list may name, it is not there.
+            for name in self.listed.difference(&here).cloned().collect::<Vec<_>>() {
+                let (zone, address) = (String::new(), None);
+                let server = Server {
+                    standing: Standing::Gone,
+                    zone,
+                    cell: 0,
+                    address,
+                    started_ms: u64::MAX,
+                    noted_ms,
+                };
+                changes.insert(name.clone(), Some(server));
+                self.leaves(&name);
+            }
+        }
+        while self.gone.len() > self.listed.len().max(LEAST_GONE) {
+            let oldest = self.gone.pop_front().unwrap_or_default();
+            changes.insert(oldest, None);
+        }
+        self.writer.note(changes, Some((self.discovery.clone(), list.index)));
+    }
+
+    /// From now on lists come from another discovery.
+    pub fn moved(&mut self, discovery: SocketAddr) {
+        self.discovery = discovery.to_string();
+    }
+
+    fn leaves(&mut self, name: &str) {
+        if self.listed.remove(name) {
+            self.gone.push_back(name.to_owned());
+        }
+    }
+}
+
+fn tell(path: &Path, stored: &Stored, opened: u64) {
+    let newest = stored.servers.values().map(|server| server.noted_ms).max();
+    let age = newest.map_or(String::new(), |at| {
+        format!(", noted {:.1} s ago at the latest", unix_ms().saturating_sub(at) as f64 / 1e3)
+    });
+    let (servers, index) = (stored.servers.len(), stored.index);
+    tracing::info!(
+        "store: {}: opened {opened} times, {servers} servers, version {index}{age}",
+        path.display()
+    );
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn member(name: &str, state: ServerState) -> (Member, Option<SocketAddr>) {
+        let member = Member { name: name.into(), zone: "z".into(), cell: 0, state, started: None };
+        (member, "127.0.0.1:9".parse().ok())
+    }
+
+    // Guards what a list of old is judged by: a server that a whole list leaves out is gone, as one that is said to
+    // be, and of those that are gone a bounded number is kept, however many come and go.
+    #[test]
+    fn servers_that_went_are_kept_as_gone_and_not_for_ever() {
+        let path = std::env::temp_dir().join(format!("badgergauge-state-{}", std::process::id()));
+        let _ = std::fs::remove_file(&path);
+        let owner = Owner { name: "b0".into(), site: "s".into() };
+        let (store, _) = Store::open(&path, &owner).expect("opens");
+        let mut keeper = Keeper {
+            writer: Writer::start(store, |fault| panic!("{fault}")).expect("starts"),
+            clock: Clock::start(),
+            discovery: "d".into(),
+            listed: BTreeSet::new(),
+            gone: VecDeque::new(),
+        };
+        let whole = |index, members| Listing { index, whole: true, members };
+        keeper.note(&whole(1, vec![member("a", ServerState::Up), member("b", ServerState::Up)]));
+        keeper.note(&whole(2, vec![member("a", ServerState::Draining)]));
+        let changed = vec![member("c", ServerState::Up)];
+        keeper.note(&Listing { index: 3, whole: false, members: changed });
+        for n in 0..300 {
+            let gone = vec![member(&format!("x{n}"), ServerState::Up)];
+            keeper.note(&Listing { index: 4 + n, whole: false, members: gone });
+            let gone = vec![member(&format!("x{n}"), ServerState::Removed)];
+            keeper.note(&Listing { index: 4 + n, whole: false, members: gone });
+        }
+        drop(keeper);
+        let (_, stored) = Store::open(&path, &owner).expect("opens");
+        let standing = |name: &str| stored.servers.get(name).map(|server| server.standing);
+        assert_eq!(standing("a"), Some(Standing::Draining));
+        assert_eq!((standing("c"), standing("x299")), (Some(Standing::Up), Some(Standing::Gone)));
+        assert_eq!((standing("b"), standing("x0")), (None, None), "the oldest went first");
+        assert_eq!(stored.servers.len(), 2 + LEAST_GONE);
+        std::fs::remove_file(&path).expect("there");
+    }
+
+    // A list at the start is changed by what is believed, and by nothing else.
+    #[test]
+    fn the_list_at_the_start_is_as_it_is_believed() {
+        let clock = Clock::start();
+        let known = Listing {
+            index: 3,
+            whole: true,
+            members: vec![
+                member("drains", ServerState::Up),
+                member("gone", ServerState::Up),
+                member("new", ServerState::Up),
+            ],
+        };
+        let server = |standing, address: Option<&str>| Server {
+            standing,
+            zone: "z".into(),
+            cell: 1,
+            address: address.and_then(|at| at.parse().ok()),
+            started_ms: 0,
+            noted_ms: unix_ms(),
+        };
+        let stored = Stored {
+            discovery: "d".into(),
+            index: 5,
+            servers: BTreeMap::from([
+                ("drains".into(), server(Standing::Draining, Some("127.0.0.1:7"))),
+                ("gone".into(), server(Standing::Gone, None)),
+                ("lately".into(), server(Standing::Up, Some("127.0.0.1:8"))),
+                ("nowhere".into(), server(Standing::Up, None)),
+            ]),
+        };
+        let beliefs = beliefs(&clock, "d", Some(&known), &stored).expect("the same discovery");
+        let list = believed(&clock, Some(known), &beliefs, &stored);
+        let lines: Vec<_> =
+            list.members.iter().map(|(m, at)| (m.name.as_str(), m.state, at.map(|at| at.port()))).collect();
+        let expected = [
+            ("drains", ServerState::Draining, Some(7)),
+            ("lately", ServerState::Up, Some(8)),
+            ("new", ServerState::Up, Some(9)),
+        ];
+        assert_eq!((lines.as_slice(), list.index), (&expected[..], 3));
+    }
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -191,6 +191,47 @@
     assert!(rules(&doubled).contains(&"Doubled"), "{:?}, {} repeated", rules(&doubled), doubled.repeated);
 }
 
+const DRAINED: &str = "
+brokers: 6
+servers: 6
+zones: 2
+cells: 3
+rate: 20
+seconds: 6
+on_request: true
+store: STORE
+events:
+  - {at: 1.5, replace: {share: 0.5, within_s: 0.1}}
+  - {at: 2.1, turn_away: {for_s: 3}}
+  - {at: 2.2, kill: {share: 1, back_s: 0.2}}
+LOST";
+
+// All brokers are killed after half of the servers were told to drain, and come back on a list from before that while
+// discovery turns callers away. What they had stored holds: nothing goes to those servers. Without a store, or with
+// stores that were wiped or cut meanwhile, parts do, as from any broker that starts as new.
+#[test]
+fn drains_hold_over_a_crash_of_all_brokers_where_they_were_stored() {
+    let play = |name: &str, store: &str, lost: &str| {
+        let scenario = DRAINED.replace("STORE", store).replace("LOST", lost);
+        fleet(name, &scenario, |options| options.drains_hold = true)
+    };
+    let kept = play("kept", "true", "");
+    assert_eq!(rules(&kept), [""; 0], "{:?}", kept.broken);
+    let served =
+        |record: &Record| record.rows.iter().filter(|row| row.second == 4).map(Row::share).sum::<f64>();
+    assert!(served(&kept) > 0.95, "{} served two seconds after the crash", served(&kept));
+    for (name, store, lost) in [
+        ("none", "false", ""),
+        ("wiped", "true", "  - {at: 2.3, wipe_stores: {share: 1}}\n"),
+        ("cut", "true", "  - {at: 2.3, cut_stores: {share: 1}}\n"),
+    ] {
+        let record = play(name, store, lost);
+        assert!(rules(&record).contains(&"Drained"), "{name}: {:?}", rules(&record));
+        assert!(rules(&record).iter().all(|rule| *rule == "Drained"), "{name}: {:?}", record.broken);
+        assert!(served(&record) > 0.9, "{name}: {} served", served(&record));
+    }
+}
+
 const PAIR: &str = "
 brokers: 2
 servers: 2
