--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -10,12 +10,11 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use badgergauge_poll::{Poll, Ready, Waker};
+use badgergauge_poll::{Poll, Ready, Waker, connect};
 use badgergauge_standin::value;
 use hdrhistogram::Histogram;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use socket2::{Domain, Socket, Type};
 
 /// How long after its time an answer is still waited for: what comes later, or never, is lost.
 const PATIENCE: Duration = Duration::from_millis(1500);
@@ -552,18 +551,6 @@
     Ok(bytes.get(head..head + length).map(|body| Response { status, retry_after, body: body.to_vec() }))
 }
 
-fn connect(to: SocketAddr) -> io::Result<TcpStream> {
-    let socket = Socket::new(Domain::for_address(to), Type::STREAM, None)?;
-    socket.set_nonblocking(true)?;
-    socket.set_tcp_nodelay(true)?;
-    match socket.connect(&to.into()) {
-        Err(error) if error.raw_os_error() != Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => {
-            Err(error)
-        }
-        _ => Ok(socket.into()),
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/fleet/src/proxy.rs
+++ b/crates/fleet/src/proxy.rs
@@ -9,7 +9,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use badgergauge_poll::{Poll, Ready, Waker};
+use badgergauge_poll::{Poll, Ready, Waker, connect};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use socket2::{Domain, SockRef, Socket, Type};
@@ -299,7 +299,7 @@
         if let Route::Tcp { listener: Some(listener), at, .. } = &self.routes[link] {
             if rule.is_cut() && !was_cut {
                 let _ = SockRef::from(listener).listen(0);
-                let fills = (0..FILLS).filter_map(|_| fill(*at).ok());
+                let fills = (0..FILLS).filter_map(|_| connect(*at).ok());
                 self.fills[link] = fills.collect();
             } else if was_cut && !rule.is_cut() {
                 let _ = SockRef::from(listener).listen(BACKLOG);
@@ -529,21 +529,3 @@
         Ok(false)
     }
 }
-
-/// Begins a connection.
-fn connect(to: SocketAddr) -> io::Result<TcpStream> {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-    socket.set_nonblocking(true)?;
-    socket.set_tcp_nodelay(true)?;
-    match socket.connect(&to.into()) {
-        Err(error) if error.raw_os_error() != Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => {
-            Err(error)
-        }
-        _ => Ok(socket.into()),
-    }
-}
-
-/// A connection that takes a place in a listener's queue.
-fn fill(at: SocketAddr) -> io::Result<TcpStream> {
-    connect(at)
-}
--- a/crates/poll/src/lib.rs
+++ b/crates/poll/src/lib.rs
@@ -1,12 +1,14 @@
-//! The poller: the one place that registers sockets with it, for the broker's loop and for those of the stand-ins
-//! and the fault proxy.
+//! The poller, for the broker's loop and for those of the stand-ins and the fault proxy: the one place that registers
+//! sockets with it. And connections that are begun without waiting for them.
 
 use std::io;
+use std::net::{SocketAddr, TcpStream};
 use std::os::fd::{AsFd, AsRawFd};
 use std::sync::Arc;
 use std::time::Duration;
 
 use polling::{Event, Events, Poller};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 
 /// What a source is ready for.
 #[derive(Clone, Copy, Debug)]
@@ -95,3 +97,37 @@
         let _ = self.0.notify();
     }
 }
+
+/// Begins a connection; [`connected`] tells when it is up.
+///
+/// # Errors
+///
+/// When the system refuses at once.
+pub fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    match socket.connect(&address.into()) {
+        Err(error) if error.raw_os_error() != Some(IN_PROGRESS) => Err(error),
+        _ => Ok(socket.into()),
+    }
+}
+
+/// Linux's EINPROGRESS, which the standard library has no kind for.
+const IN_PROGRESS: i32 = 115;
+
+/// Whether a connection is up.
+///
+/// # Errors
+///
+/// When it failed.
+pub fn connected(stream: &TcpStream) -> io::Result<bool> {
+    if let Some(error) = SockRef::from(stream).take_error()? {
+        return Err(error);
+    }
+    match stream.peer_addr() {
+        Ok(_) => Ok(true),
+        Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(false),
+        Err(error) => Err(error),
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,10 +7,9 @@
 pub mod wheel;
 
 use std::io;
-use std::net::{SocketAddr, TcpStream};
 
 use badgergauge_poll::Poll;
-use socket2::{Domain, Protocol, SockRef, Socket, Type};
+pub use badgergauge_poll::{connect, connected};
 
 use self::clock::Clock;
 use self::wheel::Wheel;
@@ -76,37 +75,3 @@
         self.last_key
     }
 }
-
-/// Begins a connection; [`connected`] tells when it is up.
-///
-/// # Errors
-///
-/// When the system refuses at once.
-pub fn connect(address: SocketAddr) -> io::Result<TcpStream> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_nonblocking(true)?;
-    socket.set_tcp_nodelay(true)?;
-    match socket.connect(&address.into()) {
-        Err(error) if error.raw_os_error() != Some(IN_PROGRESS) => Err(error),
-        _ => Ok(socket.into()),
-    }
-}
-
-/// Linux's EINPROGRESS, which the standard library has no kind for.
-const IN_PROGRESS: i32 = 115;
-
-/// Whether a connection is up.
-///
-/// # Errors
-///
-/// When it failed.
-pub fn connected(stream: &TcpStream) -> io::Result<bool> {
-    if let Some(error) = SockRef::from(stream).take_error()? {
-        return Err(error);
-    }
-    match stream.peer_addr() {
-        Ok(_) => Ok(true),
-        Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(false),
-        Err(error) => Err(error),
-    }
-}
