--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -196,8 +196,8 @@
     Next,
     /// A client comes again.
     Again(Box<Wish>),
-    /// A try is given up.
-    Expire(usize),
+    /// The try of the same number is given up.
+    Expire,
 }
 
 /// A whole response.
@@ -293,7 +293,7 @@
                 match self.what.remove(&id) {
                     Some(Due::Next) => self.next(at),
                     Some(Due::Again(wish)) => self.attempt(*wish),
-                    Some(Due::Expire(key)) => self.end(key, Ended::Lost { closed: false }),
+                    Some(Due::Expire) => self.end(id, Ended::Lost { closed: false }),
                     None => {}
                 }
             }
@@ -362,8 +362,7 @@
         wish.tries += 1;
         let left = wish.ends.saturating_sub(now);
         let Some((broker, at)) = self.choose(&wish) else { return self.not_taken(wish, None) };
-        let id = format!("b{broker}-{}-{}", self.asked, wish.tries);
-        let id = format!("{id}-{}", self.last);
+        let id = format!("b{broker}-{}-{}-{}", self.asked, wish.tries, self.last);
         let class = &self.load.classes[wish.class];
         let share = 1.0 / wish.shards.len() as f64;
         let tablets: Vec<String> =
@@ -383,8 +382,7 @@
             Err(_) => return self.not_taken(wish, Some(broker)),
         };
         let expire = (wish.ends + PATIENCE).max(now);
-        let key = self.arm(expire, Due::Expire(0));
-        self.what.insert(key, Due::Expire(key));
+        let key = self.arm(expire, Due::Expire);
         if self.poll.add(&stream, key, true, true).is_err() {
             self.what.remove(&key);
             return self.not_taken(wish, Some(broker));
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -300,8 +300,7 @@
             for report in std::mem::take(&mut ready) {
                 self.ready(now, report);
             }
-            while let Some(Reverse((at, id))) = self.due.peek().copied().filter(|due| due.0.0 <= now) {
-                let _ = at;
+            while let Some(Reverse((_, id))) = self.due.peek().copied().filter(|due| due.0.0 <= now) {
                 self.due.pop();
                 if let Some(what) = self.what.remove(&id) {
                     self.falls_due(now, what);
