Control endpoint, drain and a second process on the same addresses

- crates/control: /ops/readiness, /ops/stats, /ops/drain/start and /stop on a thread of its own; counters by prometheus-client.
Off unless `control` or $BALANCER_CONTROL is given.
- src/lifecycle.rs (before: src/shutdown.rs): Drained is a phase beside the others.
Each answer then ends its connection, those that rest end after a second, and GET /up says no.
- Listeners and the peers' socket are bound with SO_REUSEPORT where there is a control endpoint.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,7 +10,7 @@
 use std::io;
 
 use badgergauge_poll::Poll;
-pub use badgergauge_poll::{Ready, connect, connected};
+pub use badgergauge_poll::{Ready, connect, connected, datagrams, listen};
 
 use self::clock::Clock;
 use self::wheel::Wheel;
@@ -44,6 +44,10 @@
     StopListening,
     /// The end of taking requests on the connections there are, after it.
     StopServing,
+    /// The end of the time for which connections may rest in a drain.
+    DrainRest,
+    /// The gauges that operators read are to be set anew.
+    Gauges,
     /// The end of the process's time: what is open is answered.
     EndBy,
     /// The end of the time in which an attempt may still begin.
--- a/crates/poll/src/lib.rs
+++ b/crates/poll/src/lib.rs
@@ -2,7 +2,7 @@
 //! sockets with it. And connections that are begun without waiting for them.
 
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::{AsFd, AsRawFd};
 use std::sync::Arc;
 use std::time::Duration;
@@ -113,6 +113,42 @@
     }
 }
 
+/// Connections that may wait to be accepted; the system may allow fewer.
+const ACCEPT_QUEUE: i32 = 1024;
+
+/// Listens at an address. With `shared`, other sockets of this user that ask for the same may be bound there, too
+/// (SO_REUSEPORT), and the system deals new connections to all of them.
+///
+/// # Errors
+///
+/// When the address can't be bound.
+pub fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    if shared {
+        socket.set_reuse_port(true)?;
+    }
+    socket.bind(&address.into())?;
+    socket.listen(ACCEPT_QUEUE)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
+
+/// A socket for datagrams at an address, `shared` as for [`listen`].
+///
+/// # Errors
+///
+/// When the address can't be bound.
+pub fn datagrams(address: SocketAddr, shared: bool) -> io::Result<UdpSocket> {
+    let socket = Socket::new(Domain::for_address(address), Type::DGRAM, Some(Protocol::UDP))?;
+    if shared {
+        socket.set_reuse_port(true)?;
+    }
+    socket.bind(&address.into())?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
+
 /// Linux's EINPROGRESS, which the standard library has no kind for.
 const IN_PROGRESS: i32 = 115;
 
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -197,6 +197,8 @@
     asked_write: bool,
     /// The number of the step whose sends may still join the last frame.
     step: u64,
+    /// Attempts whose last byte was written since this was last taken.
+    relayed: u64,
     /// Parts that were given up long ago are still unanswered on it: it gets nothing new, and ends once
     /// nobody waits for anything on it.
     retired: bool,
@@ -218,6 +220,8 @@
     setup: SetupTime,
     /// Connections that were probed for their silence, and those of them that were dead; both are halved now and then.
     probed: [f64; 2],
+    /// Attempts whose last byte was written since this was last taken.
+    relayed: u64,
     /// What has ended and has not been taken yet.
     pub done: Vec<Done>,
     /// The time of the latest call that told it.
@@ -247,6 +251,7 @@
             touched: Vec::new(),
             step: 0,
             probed: [0.0; 2],
+            relayed: 0,
             done: Vec::new(),
             now: Time(0),
             held: Vec::new(),
@@ -296,6 +301,11 @@
         }
     }
 
+    /// How many attempts were written whole since this was last asked.
+    pub fn take_relayed(&mut self) -> u64 {
+        std::mem::take(&mut self.relayed)
+    }
+
     /// Queues an attempt; it is written by [`Backend::flush`].
     pub fn send(&mut self, net: &mut Net, now: Time, send: Send) {
         self.now = self.now.max(now);
@@ -456,6 +466,7 @@
         for key in std::mem::take(&mut self.touched) {
             let Some(link) = self.links.get_mut(&key).filter(|link| link.connected) else { continue };
             let result = link.write(now, &self.settings);
+            self.relayed += std::mem::take(&mut link.relayed);
             self.finish_late(key);
             match result {
                 Ok(()) => self.ask(net, key, false),
@@ -487,6 +498,7 @@
         }
         if result.is_ok() && link.connected {
             result = link.write(now, &self.settings);
+            self.relayed += std::mem::take(&mut link.relayed);
             // What came before the end counts, so reading goes on where writing failed.
             if readable || result.is_err() {
                 result = result.and(link.read(now));
@@ -724,6 +736,7 @@
             probed: false,
             asked_write: true,
             step: 0,
+            relayed: 0,
             retired: false,
         };
         self.links.insert(key, link);
@@ -886,6 +899,7 @@
                 self.last_used = now;
                 match self.encoded.pop_front() {
                     Some(Frame::Query(parts)) => {
+                        self.relayed += parts.len() as u64;
                         for (name, _) in parts {
                             self.parts.entry(name).and_modify(|part| part.written = Some(now));
                         }
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -15,17 +15,18 @@
 use crate::backend::{Backend, Done};
 use crate::config::Config;
 use crate::config::settings::SiteSettings;
-use crate::core::{Command, Core, Final, Ticket};
+use crate::control::{Endpoint, MAX_DESCRIPTORS, Operations, Outcome, Statistics};
+use crate::core::{Command, Core, Final, NotTaken, Ticket};
 use crate::discovery::{Listing, Pace, Source, Told, Watch, WatchError};
 use crate::front::{Front, Pending, Taken};
 use crate::interface::{LoadReport, ServerState, Time, Verdict};
 use crate::inventory::Inventory;
+use crate::lifecycle::{Lifecycle, Phase as LifePhase};
 use crate::net::client::{Client, Expired, Fate, Phase, Whole};
 use crate::net::clock::Clock;
 use crate::net::http::Response;
-use crate::net::{Due, Net, Ready};
+use crate::net::{Due, Net, Ready, datagrams, listen};
 use crate::record::Tape;
-use crate::shutdown::{self, Shutdown};
 use crate::state::Keeper;
 use crate::word;
 
@@ -60,6 +61,8 @@
 const DRAIN_PART: u32 = 2;
 /// A step's commands are carried out on what was gathered no longer ago than this: a client's end counts after 0.1 s.
 const STALE: Duration = Duration::from_millis(20);
+/// How often the gauges of servers are set anew: operators may read them half a second late.
+const GAUGES_PAUSE: Duration = Duration::from_millis(200);
 /// Connections accepted at once, before those that are ready get their turn.
 const ACCEPTS: usize = 64;
 
@@ -120,8 +123,11 @@
     again: Vec<usize>,
     /// Whether listeners wait for a client to leave.
     crowded: bool,
-    /// How the process ends, once it is told to.
-    shutdown: Shutdown,
+    /// Where the process stands between its start and its end.
+    lifecycle: Lifecycle,
+    /// What operators ask for and read, and whether anybody can.
+    operations: Arc<Operations>,
+    is_operated: bool,
     last_step: Time,
     /// What the step under way wants done.
     commands: Vec<Command>,
@@ -151,7 +157,16 @@
         let backend_links = config.bounds.sockets / 4;
         let memory = config.bounds.memory_mb * 1024 * 1024;
         let by_memory = memory / CLIENT_SHARE / CLIENT_MEMORY;
-        let most_clients = (config.bounds.sockets - RESERVED - backend_links).min(by_memory).max(1);
+        let is_operated = config.control.is_some();
+        let reserved = RESERVED + if is_operated { MAX_DESCRIPTORS } else { 0 };
+        let by_descriptors = config.bounds.sockets.saturating_sub(reserved + backend_links);
+        let most_clients = by_descriptors.min(by_memory).max(1);
+        let operations = Arc::new(Operations::new(Statistics::new(&settings.classes)));
+        if let Some(address) = config.control {
+            let endpoint = Endpoint::start(address, operations.clone(), net.poll.waker());
+            let endpoint = endpoint.map_err(|error| invalid(format!("control: {error}")))?;
+            tracing::info!("{} listens to operators on {}", config.name, endpoint.address());
+        }
         let mut backend = Backend::new(settings.clone(), backend_links);
         let known = config.known.take().map(|known| Listing::from_value(&known, &clock)).transpose();
         let mut known = known.map_err(|fault| invalid(format!("known.{fault}")))?;
@@ -178,13 +193,16 @@
             .peers
             .take()
             .filter(|(_, all)| core.talks() && all.len() == settings.module.front_nodes as usize);
-        let peers = peers.map(|(at, all)| peer_socket(&net, at).map(|socket| (socket, all)));
+        let peers = peers.map(|(at, all)| peer_socket(&net, at, is_operated).map(|socket| (socket, all)));
         let peers = peers.transpose().map_err(|error| invalid(format!("peer_listen: {error}")))?;
         let front = Front::new(settings.clone(), config.ogc.clone(), config.seed);
         let now = clock.now();
         net.wheel.arm(now, Due::Watch);
         net.wheel.arm(now.after(SWEEP), Due::Sweep);
         net.wheel.arm(now, Due::Look);
+        if is_operated {
+            net.wheel.arm(now, Due::Gauges);
+        }
         let mut broker = Broker {
             settings,
             net,
@@ -209,19 +227,22 @@
             most_buffered: memory / CLIENT_SHARE,
             again: Vec::new(),
             crowded: false,
-            shutdown: Shutdown::default(),
+            lifecycle: Lifecycle::default(),
+            operations,
+            is_operated,
             last_step: Time(0),
             commands: Vec::new(),
         };
         let bound = broker.net.clock.now();
         broker.await_list()?;
         let listed = broker.net.clock.now();
-        if !broker.shutdown.is_told() {
+        if !broker.lifecycle.is_stopping() {
             broker.listen()?;
         }
-        broker.shutdown.started();
+        broker.lifecycle.started();
         let ms = |from: Time, to: Time| to.since(from).as_secs_f64() * 1e3;
         let ready = broker.net.clock.now();
+        broker.heed_operators(ready);
         let told = match broker.watch.as_ref().is_some_and(Watch::has_told) {
             true => "told",
             false if broker.core.can_serve() => "the one of old",
@@ -244,7 +265,7 @@
         let until = self.net.clock.now().after(source.first_list());
         let waits = |broker: &Self| broker.watch.as_ref().is_some_and(|watch| !watch.has_told());
         let (mut ready, mut due) = (Vec::new(), Vec::new());
-        while waits(self) && !self.shutdown.is_told() && self.net.clock.now() < until {
+        while waits(self) && !self.lifecycle.is_stopping() && self.net.clock.now() < until {
             self.turn(&mut ready, &mut due, Some(until))?;
         }
         // What signals asked for meanwhile goes before the first client.
@@ -258,8 +279,7 @@
         let fronts = [(LISTEN, Some(self.config.listen), "clients"), (OGC_LISTEN, ogc, "OGC clients")];
         for (key, at, front) in fronts {
             let Some(at) = at else { continue };
-            let listener = TcpListener::bind(at).map_err(|error| invalid(format!("{at}: {error}")))?;
-            listener.set_nonblocking(true)?;
+            let listener = listen(at, self.is_operated).map_err(|error| invalid(format!("{at}: {error}")))?;
             self.net.poll.add(&listener, key, true, false)?;
             tracing::info!("{} listens to {front} on {}", self.config.name, listener.local_addr()?);
             self.listeners.push((key, listener));
@@ -280,7 +300,7 @@
     pub fn run(mut self) -> io::Result<()> {
         let (mut ready, mut due) = (Vec::new(), Vec::new());
         while self.goes_on() {
-            self.turn(&mut ready, &mut due, self.shutdown.due())?;
+            self.turn(&mut ready, &mut due, self.lifecycle.due())?;
         }
         if let Some(tape) = self.tape.take() {
             tape.close(self.net.clock.now());
@@ -296,7 +316,7 @@
         let pause = if self.again.is_empty() { wake.map(|at| at.since(now)) } else { Some(Duration::ZERO) };
         self.net.poll.wait(pause, ready)?;
         let now = self.net.clock.now();
-        self.shutdown.pass(now);
+        self.lifecycle.pass(now);
         for key in std::mem::take(&mut self.again) {
             self.client_ready(now, key);
         }
@@ -312,6 +332,7 @@
             self.step(now);
         }
         self.say(now);
+        self.heed_operators(now);
         self.looked = now;
         Ok(())
     }
@@ -319,12 +340,12 @@
     /// Whether the process goes on: it ends once it was told to and nothing is owed to anyone.
     fn goes_on(&mut self) -> bool {
         let now = self.net.clock.now();
-        self.shutdown.pass(now);
-        if self.shutdown.is_told() {
+        self.lifecycle.pass(now);
+        if self.lifecycle.is_stopping() {
             let owed = self.core.open() > 0 || self.clients.values().any(Client::is_owed);
-            self.shutdown.left(now, !self.listeners.is_empty(), owed, !self.clients.is_empty());
+            self.lifecycle.left(now, !self.listeners.is_empty(), owed, !self.clients.is_empty());
         }
-        self.shutdown.phase() != shutdown::Phase::Ended
+        self.lifecycle.phase() != LifePhase::Ended
     }
 
     fn ready(&mut self, now: Time, key: usize, readable: bool) {
@@ -361,6 +382,8 @@
             Due::Sweep => self.sweep(now),
             // The outcomes come with the gather that follows.
             Due::Heard => {}
+            Due::DrainRest => self.end_resting(now),
+            Due::Gauges => self.set_gauges(now),
             Due::StopListening => self.stop_listening(now),
             Due::StopServing => self.stop_serving(now),
             Due::EndBy => self.fail_open(now),
@@ -464,9 +487,15 @@
     }
 
     fn finish(&mut self, now: Time, ticket: Ticket, last: Final) {
-        let (key, stay) = (ticket.0 as usize, !self.shutdown.is_leaving());
+        let (key, stay) = (ticket.0 as usize, !self.lifecycle.is_closing());
         let Some(client) = self.clients.get_mut(&key) else { return };
         let Some(pending) = client.finish(now) else { return };
+        let outcome = match last {
+            Final::Answered { .. } => Outcome::Fulfilled,
+            Final::Refused { .. } => Outcome::Throttled,
+            Final::Failed => Outcome::Faulted,
+        };
+        self.operations.statistics().request_ended(pending.class, outcome);
         client.answer(now, self.front.answer(&pending, last), stay);
         self.serve(now, key);
     }
@@ -616,8 +645,8 @@
 
     /// Takes the request that a client's connection holds whole.
     fn take(&mut self, now: Time, key: usize) {
-        let stay = !self.shutdown.is_leaving();
-        let able = self.core.can_serve() && !self.shutdown.is_told();
+        let stay = !self.lifecycle.is_closing();
+        let able = self.core.can_serve() && self.lifecycle.is_serving();
         let Some(client) = self.clients.get_mut(&key) else { return };
         let (keep_alive, taken) = match client.request() {
             Ok(request) => {
@@ -631,7 +660,7 @@
         let response = match taken {
             Taken::Answered(response) => response,
             Taken::Query(mut query, pending) => {
-                query.left = query.left.saturating_sub(spent).min(self.shutdown.ends_by.since(now));
+                query.left = query.left.saturating_sub(spent).min(self.lifecycle.ends_by.since(now));
                 if let Some(holder) = self.core.holder(&query.name).filter(|holder| holder.0 != key as u64) {
                     // Its client may have gone and sent the request once more, on this connection.
                     self.look_at(now, holder.0 as usize);
@@ -643,7 +672,14 @@
                         client.wait(now, id, pending);
                         return;
                     }
-                    Err(why) => self.front.not_taken(&pending, why),
+                    Err(why) => {
+                        let outcome = match why {
+                            NotTaken::Full => Outcome::Throttled,
+                            NotTaken::NameInUse => Outcome::Faulted,
+                        };
+                        self.operations.statistics().request_ended(pending.class, outcome);
+                        self.front.not_taken(&pending, why)
+                    }
                 }
             }
         };
@@ -683,6 +719,7 @@
             _ => {}
         }
         self.sweep_clients(now);
+        self.end_resting(now);
         // Whoever had to be left alone a moment ago may have to make room by now.
         if std::mem::take(&mut self.crowded) {
             self.listen_on();
@@ -858,15 +895,16 @@
     }
 
     fn stop(&mut self, now: Time) {
-        if !self.shutdown.told(now, &self.settings.module.classes) {
+        if !self.lifecycle.stop(now, &self.settings.module.classes) {
             return;
         }
+        self.operations.set_stopping();
         tracing::info!("stopping, {} open", self.core.open());
         self.core.note("stopping");
-        let (listens, serves) = (self.shutdown.listens_until, self.shutdown.serves_until);
+        let (listens, serves) = (self.lifecycle.listens_until, self.lifecycle.serves_until);
         self.net.wheel.arm(listens, Due::StopListening);
         self.net.wheel.arm(serves.max(listens), Due::StopServing);
-        self.net.wheel.arm(self.shutdown.ends_by, Due::EndBy);
+        self.net.wheel.arm(self.lifecycle.ends_by, Due::EndBy);
     }
 
     /// The broker has no more time: what is open gets its answer now.
@@ -887,6 +925,36 @@
         tracing::info!("stopping, {} clients left", self.clients.len());
     }
 
+    /// Does what operators have asked for, and shows them where the process stands.
+    fn heed_operators(&mut self, now: Time) {
+        let statistics = self.operations.statistics();
+        statistics.set_open_requests(self.core.open());
+        statistics.attempts_relayed(self.backend.take_relayed());
+        match self.operations.drain_requested() {
+            true if self.lifecycle.drain(now) => {
+                tracing::info!("draining, {} clients, {} open", self.clients.len(), self.core.open());
+                self.net.wheel.arm(self.lifecycle.drain_rests_until, Due::DrainRest);
+            }
+            false if self.lifecycle.resume() => tracing::info!("no longer draining"),
+            _ => {}
+        }
+        self.operations.set_ready(self.lifecycle.is_serving());
+    }
+
+    /// Sets the gauges that take a look at all servers.
+    fn set_gauges(&mut self, now: Time) {
+        let (up, draining) = self.core.listed();
+        self.operations.statistics().set_servers(up + draining, draining);
+        self.net.wheel.arm(now.after(GAUGES_PAUSE), Due::Gauges);
+    }
+
+    /// Ends the connections that rest, where a drain's time for them is over.
+    fn end_resting(&mut self, now: Time) {
+        if self.lifecycle.drain_rest(now).is_some_and(|rest| rest.is_zero()) {
+            self.stop_serving(now);
+        }
+    }
+
     /// Ends the connections that are idle; the others end with their answer.
     fn stop_serving(&mut self, now: Time) {
         for key in self.clients.keys().copied().collect::<Vec<_>>() {
@@ -902,9 +970,8 @@
 }
 
 /// The socket on which word comes.
-fn peer_socket(net: &Net, at: SocketAddr) -> io::Result<UdpSocket> {
-    let socket = UdpSocket::bind(at)?;
-    socket.set_nonblocking(true)?;
+fn peer_socket(net: &Net, at: SocketAddr, shared: bool) -> io::Result<UdpSocket> {
+    let socket = datagrams(at, shared)?;
     net.poll.add(&socket, PEERS, true, false)?;
     Ok(socket)
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -93,6 +93,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub control: Option<SocketAddr>,
     /// Where discovery listens; it may be missing where an inventory lists the servers.
     pub discovery: Option<SocketAddr>,
     /// For random numbers.
@@ -127,6 +129,8 @@
     #[serde(default)]
     listen: Option<String>,
     #[serde(default)]
+    control: Option<String>,
+    #[serde(default)]
     discovery: Option<String>,
     #[serde(default)]
     seed: Option<String>,
@@ -185,6 +189,7 @@
         let keys = [
             ("name", self.name == running.name),
             ("listen", self.listen == running.listen),
+            ("control", self.control == running.control),
             ("limits", self.bounds == running.bounds),
             ("settings", self.settings == running.settings),
             ("log", self.service.log == running.service.log),
@@ -303,6 +308,8 @@
         let listen = listen.map_err(|fault| faults.push(fault));
         let discovery = told(DISCOVERY, "discovery", file.discovery).ok().map(address).transpose();
         let discovery = discovery.map_err(|fault| faults.push(fault));
+        let control = told("BALANCER_CONTROL", "control", file.control).ok().map(address).transpose();
+        let control = control.map_err(|fault| faults.push(fault)).ok().flatten();
         let peer_listen =
             file.peer_listen.map(|at| address((place.to_owned(), "peer_listen".to_owned(), at)));
         let peer_listen = peer_listen.transpose().map_err(|fault| faults.push(fault)).ok().flatten();
@@ -314,6 +321,7 @@
                 Ok(Config {
                     name,
                     listen,
+                    control,
                     discovery,
                     seed,
                     bounds,
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -11,9 +11,18 @@
 use crate::core::{Final, NewQuery, NotTaken};
 use crate::net::http::{Request, Response};
 
+/// What is kept of a request until its final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pending {
+    /// Index of its class.
+    pub class: usize,
+    /// The front that it came on.
+    pub origin: Origin,
+}
+
 /// What a front keeps of a request until its final answer.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Pending {
+pub enum Origin {
     /// It came over the platform's protocol.
     Platform,
     /// It is a page of features.
@@ -29,6 +38,13 @@
     Query(NewQuery, Pending),
 }
 
+impl Taken {
+    fn query(query: NewQuery, origin: Origin) -> Self {
+        let class = query.class;
+        Taken::Query(query, Pending { class, origin })
+    }
+}
+
 /// Both fronts over one core.
 pub struct Front {
     settings: Arc<SiteSettings>,
@@ -50,12 +66,12 @@
             (Some(front), true) => match front.read(request, &self.settings) {
                 Ok(ogc::Asked::Ready) => up(),
                 Ok(ogc::Asked::Known(response)) => Taken::Answered(response),
-                Ok(ogc::Asked::Query(query, page)) => Taken::Query(query, Pending::Ogc(page)),
+                Ok(ogc::Asked::Query(query, page)) => Taken::query(query, Origin::Ogc(page)),
                 Err(exception) => Taken::Answered(exception.response()),
             },
             _ => match platform::read(request, &self.settings) {
                 Ok(platform::Asked::Ready) => up(),
-                Ok(platform::Asked::Query(query)) => Taken::Query(query, Pending::Platform),
+                Ok(platform::Asked::Query(query)) => Taken::query(query, Origin::Platform),
                 Err(response) => Taken::Answered(response),
             },
         }
@@ -63,18 +79,18 @@
 
     /// A final answer, on the wire that the request came on.
     pub fn answer(&self, pending: &Pending, last: Final) -> Response {
-        match (pending, &self.ogc) {
-            (Pending::Ogc(page), Some(front)) => front.answer(page, last),
+        match (&pending.origin, &self.ogc) {
+            (Origin::Ogc(page), Some(front)) => front.answer(page, last),
             _ => platform::answer(last),
         }
     }
 
     /// The answer to a request that the core did not take.
     pub fn not_taken(&self, pending: &Pending, why: NotTaken) -> Response {
-        match (pending, why) {
-            (Pending::Ogc(_), _) => ogc::refusal(0.0),
-            (Pending::Platform, NotTaken::Full) => platform::refusal(Duration::ZERO),
-            (Pending::Platform, NotTaken::NameInUse) => Response::text(409, "X-Request-ID: is in use"),
+        match (&pending.origin, why) {
+            (Origin::Ogc(_), _) => ogc::refusal(0.0),
+            (Origin::Platform, NotTaken::Full) => platform::refusal(Duration::ZERO),
+            (Origin::Platform, NotTaken::NameInUse) => Response::text(409, "X-Request-ID: is in use"),
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,11 +7,12 @@
 pub mod config;
 pub mod front;
 pub mod inventory;
+pub mod lifecycle;
 pub mod log;
 pub mod record;
-pub mod shutdown;
 pub mod state;
 
+pub use badgergauge_control as control;
 pub use badgergauge_core::{core, decide, interface, word};
 pub use badgergauge_discovery as discovery;
 pub use badgergauge_net as net;
--- a/src/shutdown.rs
+++ b/src/lifecycle.rs
@@ -1,4 +1,5 @@
-//! How the process ends: the one place where its states change. No I/O, and no clock but what is told.
+//! The life of the process, from its start over drains to its end: the one place where its phases change. No I/O, and
+//! no clock but what it is given.
 
 use std::time::Duration;
 
@@ -13,6 +14,9 @@
 /// Once nothing is owed, clients that have met the end of their connections have so long to end them too: a process
 /// that ends over bytes that it has not read resets them.
 const LAST_LINGERING: Duration = Duration::from_millis(200);
+/// In a drain connections may rest for so long, as most of them carry one more request and end with its answer. Clients
+/// have left 2 s after that.
+const DRAIN_REST: Duration = Duration::from_secs(1);
 
 /// Where the process stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,36 +25,44 @@
     Starting,
     /// It serves.
     Serving,
+    /// Operators have drained it: it serves those that come, and asks all to leave. Nothing of it ends.
+    Drained,
     /// It was told to end, and goes on on the connections there are. Clients that still have one use it while it is
     /// open, and whoever restarts brokers in turn may stop this one before the last is back: closing them early would
     /// leave them without any.
-    Draining,
-    /// Each answer ends its connection, and those that rest are ended.
-    Leaving,
+    Stopping,
+    /// It was told to end, each answer ends its connection, and in time those that rest are ended.
+    Closing,
     /// Nothing is owed any more: clients are left to end their connections.
     Lingering,
     /// It ends.
     Ended,
 }
 
-/// The process's end.
+/// The process's phase, with the times at which it changes.
 #[derive(Clone, Copy, Debug)]
-pub struct Shutdown {
+pub struct Lifecycle {
     phase: Phase,
+    /// Whether a successor has its listeners.
+    handed_over: bool,
+    /// From then on connections that rest are ended, while it is drained.
+    pub drain_rests_until: Time,
     /// Until then new connections are taken, once it was told to end.
     pub listens_until: Time,
-    /// Until then requests are taken on the connections there are, and said to be welcome.
+    /// Until then connections may rest, once it was told to end.
     pub serves_until: Time,
     /// By then all is answered.
     pub ends_by: Time,
     lingers_until: Time,
 }
 
-impl Default for Shutdown {
+impl Default for Lifecycle {
     fn default() -> Self {
         let never = Time(u64::MAX);
-        Shutdown {
+        Lifecycle {
             phase: Phase::Starting,
+            handed_over: false,
+            drain_rests_until: never,
             listens_until: never,
             serves_until: never,
             ends_by: never,
@@ -59,20 +71,30 @@
     }
 }
 
-impl Shutdown {
+impl Lifecycle {
     /// Where the process stands.
     pub fn phase(&self) -> Phase {
         self.phase
     }
 
+    /// Whether new clients are welcome.
+    pub fn is_serving(&self) -> bool {
+        self.phase == Phase::Serving
+    }
+
+    /// Whether operators have drained it.
+    pub fn is_drained(&self) -> bool {
+        self.phase == Phase::Drained
+    }
+
     /// Whether it was told to end.
-    pub fn is_told(&self) -> bool {
-        !matches!(self.phase, Phase::Starting | Phase::Serving)
+    pub fn is_stopping(&self) -> bool {
+        !matches!(self.phase, Phase::Starting | Phase::Serving | Phase::Drained)
     }
 
     /// Whether the connections there are will end, as their next answer says.
-    pub fn is_leaving(&self) -> bool {
-        matches!(self.phase, Phase::Leaving | Phase::Lingering | Phase::Ended)
+    pub fn is_closing(&self) -> bool {
+        !matches!(self.phase, Phase::Starting | Phase::Serving | Phase::Stopping)
     }
 
     /// Clients may come.
@@ -82,22 +104,55 @@
         }
     }
 
+    /// Operators drain it. Gives whether that changes anything: only one that serves can be drained.
+    pub fn drain(&mut self, now: Time) -> bool {
+        if self.phase != Phase::Serving {
+            return false;
+        }
+        self.phase = Phase::Drained;
+        self.drain_rests_until = now.after(DRAIN_REST);
+        true
+    }
+
+    /// Operators end the drain. Gives whether that changes anything.
+    pub fn resume(&mut self) -> bool {
+        if self.phase != Phase::Drained {
+            return false;
+        }
+        self.phase = Phase::Serving;
+        self.drain_rests_until = Time(u64::MAX);
+        true
+    }
+
+    /// How long a connection may rest from now on, where a drain says so.
+    pub fn drain_rest(&self, now: Time) -> Option<Duration> {
+        (self.phase == Phase::Drained).then(|| self.drain_rests_until.since(now))
+    }
+
+    /// A successor takes clients on the same listeners: this process's clients have somewhere to go.
+    pub fn hand_over(&mut self) {
+        self.handed_over = true;
+    }
+
     /// SIGTERM has come. Gives whether it says anything new: a second one does not, and one that comes before clients
     /// may is the end.
-    pub fn told(&mut self, now: Time, classes: &[Class]) -> bool {
+    pub fn stop(&mut self, now: Time, classes: &[Class]) -> bool {
         match self.phase {
             Phase::Starting => self.phase = Phase::Ended,
-            Phase::Serving => {
+            Phase::Serving | Phase::Drained => {
                 let longest = classes.iter().map(|class| class.deadline).max().unwrap_or_default();
                 let aim = classes.iter().map(|class| class.aim).max().unwrap_or_default();
                 let whole = longest.min(LONGEST) + LAST_LISTENING;
                 // Where that leaves no time, each answer says from now on that its connection ends.
                 let serving = whole.saturating_sub(aim.saturating_mul(LAST_AIMS));
-                let serving = if serving > LAST_LISTENING { serving } else { Duration::ZERO };
-                self.listens_until = now.after(LAST_LISTENING);
+                let has_time = serving > LAST_LISTENING && !self.is_drained();
+                let serving = if has_time { serving } else { Duration::ZERO };
+                let listening = if self.handed_over { Duration::ZERO } else { LAST_LISTENING };
+                self.listens_until = now.after(listening);
                 self.serves_until = now.after(serving);
                 self.ends_by = now.after(whole);
-                self.phase = Phase::Draining;
+                let elsewhere = self.handed_over || self.is_drained();
+                self.phase = if elsewhere { Phase::Closing } else { Phase::Stopping };
                 self.pass(now);
             }
             _ => return false,
@@ -107,8 +162,8 @@
 
     /// Time has gone on.
     pub fn pass(&mut self, now: Time) {
-        if self.phase == Phase::Draining && now >= self.serves_until {
-            self.phase = Phase::Leaving;
+        if self.phase == Phase::Stopping && now >= self.serves_until {
+            self.phase = Phase::Closing;
         }
         if self.phase == Phase::Lingering && now >= self.lingers_until {
             self.phase = Phase::Ended;
@@ -119,8 +174,8 @@
     /// listens no more may be done.
     pub fn left(&mut self, now: Time, listens: bool, owed: bool, clients: bool) {
         match self.phase {
-            Phase::Draining | Phase::Leaving if !listens && !owed && !clients => self.phase = Phase::Ended,
-            Phase::Leaving if !listens && !owed => {
+            Phase::Stopping | Phase::Closing if !listens && !owed && !clients => self.phase = Phase::Ended,
+            Phase::Closing if !listens && !owed && now >= self.serves_until => {
                 self.phase = Phase::Lingering;
                 self.lingers_until = now.after(LAST_LINGERING).min(self.ends_by.max(now));
             }
--- /dev/null
+++ b/src/lifecycle/tests.rs
@@ -0,0 +1,134 @@
+use super::*;
+use crate::interface::Effect;
+
+fn classes(aim_ms: u64, deadline_ms: u64) -> Vec<Class> {
+    let [aim, deadline] = [aim_ms, deadline_ms].map(Duration::from_millis);
+    let (worth, late_share, effect, need) = (1.0, 0.0, Effect::Safe, 1.0);
+    vec![Class {
+        aim,
+        deadline,
+        worth,
+        late_share,
+        effect,
+        need,
+        floor: 1.0,
+        partial_worth: 0.0,
+        follow_up: 0,
+    }]
+}
+
+fn at(ms: u64) -> Time {
+    Time(ms * 1_000_000)
+}
+
+fn stopped(aim_ms: u64, deadline_ms: u64) -> Lifecycle {
+    let mut lifecycle = Lifecycle::default();
+    lifecycle.started();
+    assert!(lifecycle.stop(at(0), &classes(aim_ms, deadline_ms)));
+    lifecycle
+}
+
+// Guards clients of a broker that is killed 0.7 s after the longest deadline, or after 3.7 s: whatever the settings,
+// all is answered and clients have met the end of their connections before that.
+#[test]
+fn all_is_answered_before_the_process_may_be_killed() {
+    for (aim, deadline) in [(500, 3000), (2000, 6000), (100, 400), (1000, 1000), (30_000, 60_000)] {
+        let mut lifecycle = stopped(aim, deadline);
+        let killed = at(deadline.min(3000) + 700);
+        assert!(lifecycle.ends_by < killed && lifecycle.serves_until <= lifecycle.ends_by);
+        assert!(lifecycle.listens_until <= at(500));
+        lifecycle.pass(lifecycle.serves_until);
+        assert_eq!(lifecycle.phase(), Phase::Closing, "{aim} {deadline}");
+        // What ends at the last moment lingers no longer than the process has.
+        lifecycle.left(lifecycle.ends_by, false, false, true);
+        let due = lifecycle.due().expect("it lingers");
+        assert!(due <= lifecycle.ends_by, "{due:?}");
+        lifecycle.pass(due);
+        assert_eq!(lifecycle.phase(), Phase::Ended);
+    }
+}
+
+// SIGTERM twice says nothing new, before clients may come it is the end, and a start that is told late stays one.
+#[test]
+fn sigterm_is_heeded_once_and_before_the_start_is_the_end() {
+    let mut early = Lifecycle::default();
+    assert!(early.stop(at(0), &classes(500, 3000)));
+    assert_eq!(early.phase(), Phase::Ended);
+    early.started();
+    assert_eq!(early.phase(), Phase::Ended);
+    let mut twice = stopped(500, 3000);
+    let before = (twice.serves_until, twice.ends_by);
+    assert!(!twice.stop(at(400), &classes(500, 3000)));
+    assert_eq!((twice.serves_until, twice.ends_by), before);
+}
+
+// Nothing ends while it is owed, nor while new connections are taken; where time is left it goes on serving, and ends
+// early only if all clients have left.
+#[test]
+fn it_ends_once_nothing_is_owed_and_not_before() {
+    let mut lifecycle = stopped(500, 3000);
+    for (listens, owed, clients) in [(true, false, false), (false, true, true), (false, false, true)] {
+        lifecycle.left(at(600), listens, owed, clients);
+        assert_eq!(lifecycle.phase(), Phase::Stopping);
+    }
+    let mut left_alone = lifecycle;
+    left_alone.left(at(600), false, false, false);
+    assert_eq!(left_alone.phase(), Phase::Ended);
+    lifecycle.pass(at(2500));
+    assert!(lifecycle.is_closing());
+    lifecycle.left(at(2500), false, true, true);
+    assert_eq!(lifecycle.phase(), Phase::Closing);
+    lifecycle.left(at(2600), false, false, true);
+    assert_eq!((lifecycle.phase(), lifecycle.due()), (Phase::Lingering, Some(at(2800))));
+    lifecycle.left(at(2700), false, false, false);
+    assert_eq!(lifecycle.phase(), Phase::Ended);
+}
+
+// A drain asks clients to leave and takes nothing away; it and its end may come twice, or in quick turns.
+#[test]
+fn a_drain_and_its_end_are_idempotent() {
+    let mut lifecycle = Lifecycle::default();
+    assert!(!lifecycle.drain(at(0)) && !lifecycle.resume(), "clients may not come yet");
+    lifecycle.started();
+    assert!(!lifecycle.resume());
+    for turn in 0..3 {
+        let now = at(turn * 10);
+        assert!(lifecycle.drain(now) && !lifecycle.drain(now.after(Duration::from_millis(5))));
+        assert_eq!(lifecycle.drain_rests_until, now.after(DRAIN_REST), "a second call puts nothing off");
+        assert!(lifecycle.is_closing() && !lifecycle.is_serving() && !lifecycle.is_stopping());
+        lifecycle.left(now, false, false, false);
+        assert_eq!(lifecycle.phase(), Phase::Drained, "a drained process does not end");
+        assert!(lifecycle.resume() && !lifecycle.resume());
+        assert!(lifecycle.is_serving() && !lifecycle.is_closing());
+    }
+}
+
+// SIGTERM in a drain: clients were asked to leave, so nothing waits for them but the last that come. No drain begins or
+// ends after it.
+#[test]
+fn sigterm_crosses_a_drain() {
+    let mut lifecycle = Lifecycle::default();
+    lifecycle.started();
+    lifecycle.drain(at(0));
+    assert!(lifecycle.stop(at(100), &classes(500, 3000)));
+    assert_eq!((lifecycle.phase(), lifecycle.listens_until), (Phase::Closing, at(600)));
+    assert!(!lifecycle.resume() && !lifecycle.drain(at(200)));
+    lifecycle.left(at(600), false, false, true);
+    assert_eq!(lifecycle.phase(), Phase::Lingering);
+}
+
+// A process whose successor has its listeners asks its clients to leave with each answer, and lets those that rest do so
+// as long as it has time for what they may still send.
+#[test]
+fn after_a_hand_over_connections_end_with_their_answers() {
+    let mut lifecycle = Lifecycle::default();
+    lifecycle.started();
+    lifecycle.hand_over();
+    assert!(lifecycle.is_serving() && !lifecycle.is_closing());
+    assert!(lifecycle.stop(at(0), &classes(500, 3000)));
+    assert_eq!((lifecycle.phase(), lifecycle.listens_until), (Phase::Closing, at(0)));
+    lifecycle.left(at(10), false, false, true);
+    assert_eq!(lifecycle.phase(), Phase::Closing, "clients that rest have time");
+    lifecycle.left(lifecycle.serves_until, false, false, true);
+    assert_eq!(lifecycle.phase(), Phase::Lingering);
+}
