Faults of settings name the operator's keys; settings of other customers drawn by a test

Cause: a fault named the module's field (settings.classes.floor) where the operator wrote another key (settings.extra.leastShare). src/config/mod.rs maps each field to its key; a test refuses 25 faults by key and reason. The other new test draws settings of other customers.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -277,7 +277,7 @@
             .ok();
         if let Some(settings) = &settings {
             let found = settings.module.faults();
-            faults.extend(found.into_iter().map(|e| error(place, &format!("settings.{}", e.field), e.fault)));
+            faults.extend(found.into_iter().map(|e| error(place, &key_of(e.field), e.fault)));
             for (class, rules) in settings.module.classes.iter().enumerate() {
                 if rules.follow_up > 0 {
                     let key = format!("settings.extra.followUp[{class}]");
@@ -338,6 +338,36 @@
     }
 }
 
+/// The key that an operator wrote for a field of the module's settings.
+fn key_of(field: &str) -> String {
+    let key = match field {
+        "front_nodes" => "balancers",
+        "classes" => "profiles",
+        "classes.aim" => "profiles[].aimNs",
+        "classes.deadline" => "profiles[].deadlineNs",
+        "classes.worth" => "profiles[].credit",
+        "classes.late_share" => "profiles[].lateShare",
+        "classes.need" => "extra.needByClass",
+        "classes.floor" => "extra.leastShare",
+        "classes.partial_worth" => "extra.incompleteWorth",
+        "tenants.quota_per_second" => "tenants[].quotaPerS",
+        "cross_zone_price" => "prices.crossZone",
+        "handshake_price" => "prices.handshake",
+        "over_share_worth" => "overShareWorth",
+        "shards" => "extra.slices",
+        "cells" => "extra.sets",
+        "width" => "extra.width",
+        "batch" => "extra.batch",
+        "tick" => "granularityNs",
+        "max_attempts" => "limits.maxAttempts",
+        "budget" => "safety.budgetSpanNs",
+        "cold.from" => "safety.coldFrom",
+        "cold.fall_multiple" => "safety.fallMultiple",
+        other => other,
+    };
+    format!("settings.{key}")
+}
+
 fn open(file: &Path) -> Result<String, ConfigError> {
     fs::read_to_string(file).map_err(|e| error(&place(file), "", &e.to_string()))
 }
--- a/tests/crossings/main.rs
+++ b/tests/crossings/main.rs
@@ -8,4 +8,5 @@
 mod client_gone;
 mod floods;
 mod lists;
+mod settings;
 mod shutdown;
--- /dev/null
+++ b/tests/crossings/settings.rs
@@ -0,0 +1,206 @@
+//! Other customers' settings: drawn within what the protocol's page allows, each with the program started on them; and
+//! settings that can't be used, each refused with its key and the reason.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+
+use crate::stage::{Stage, line};
+
+/// A tile server that answers each part at once, with its own id.
+fn serves() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || answer(stream));
+        }
+    });
+    address
+}
+
+fn answer(mut stream: TcpStream) {
+    let mut length = [0; 4];
+    while stream.read_exact(&mut length).is_ok() {
+        let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+        if stream.read_exact(&mut frame).is_err() {
+            return;
+        }
+        let frame = String::from_utf8(frame).expect("text");
+        let mut answers = match &frame[..1] {
+            "q" => Vec::new(),
+            "p" | "l" => vec!["pserved".to_owned()],
+            _ => continue,
+        };
+        let mut rest = &frame[1..];
+        while let (true, Some((head, behind))) = (answers.is_empty() || rest.len() > 1, rest.split_once('\n'))
+        {
+            let words: Vec<&str> = head.split(' ').collect();
+            answers.push(format!("a{} served 1 -\n{}", words[0], words[0]));
+            rest = &behind[words[3].parse::<usize>().expect("a length")..];
+        }
+        for answer in answers {
+            let bytes =
+                [&u32::try_from(answer.len()).expect("short").to_be_bytes()[..], answer.as_bytes()].concat();
+            if stream.write_all(&bytes).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Between these, drawn by its order of magnitude.
+fn span(rng: &mut ChaCha8Rng, least_ms: f64, most_ms: f64) -> u64 {
+    (1e6 * (rng.random_range(least_ms.ln()..most_ms.ln())).exp()) as u64
+}
+
+fn one<'a>(rng: &mut ChaCha8Rng, of: &[&'a str]) -> &'a str {
+    of[rng.random_range(0..of.len())]
+}
+
+/// Settings as another customer might have them.
+fn drawn(rng: &mut ChaCha8Rng, servers: u32) -> Value {
+    let names = ["probe-run", "ledger", "a", "Ünsal", "x_1", "long-name-of-a-class"];
+    let classes = rng.random_range(1..=4);
+    let each = |rng: &mut ChaCha8Rng, least: f64| {
+        (0..classes).map(|_| rng.random_range(least..=1.0)).collect::<Vec<f64>>()
+    };
+    let profiles: Vec<Value> = (0..classes)
+        .map(|class| {
+            let deadline = span(rng, 1500.0, 600_000.0);
+            let mut profile = json!({"name": names[class], "aimNs": deadline.min(span(rng, 1000.0, 60_000.0)),
+                "deadlineNs": deadline, "credit": rng.random_range(0.0..50.0), "group": "all",
+                "effect": one(rng, &["safe", "keyed", "unsafe"])});
+            if rng.random() {
+                profile["lateShare"] = json!(rng.random::<f64>());
+            }
+            if profile["effect"] == "keyed" {
+                profile["windowNs"] = json!(span(rng, 1.0, 60_000.0));
+            }
+            profile
+        })
+        .collect();
+    let need = each(rng, 0.3);
+    let mut limits = json!({"cancel": rng.random::<bool>(), "maxAttempts": rng.random_range(1..8), "secondCopies": rng.random::<bool>()});
+    let mut safety = json!({"coldFrom": rng.random::<f64>(), "coldNs": span(rng, 0.001, 60_000.0),
+        "fallMultiple": rng.random_range(0.5..5.0), "overloadForNs": span(rng, 1.0, 10_000.0)});
+    let mut optional = |of: &mut Value, key: &str, value: Value| {
+        if rng.random() {
+            of[key] = value;
+        }
+    };
+    optional(&mut limits, "connIdleNs", json!(300_000_000));
+    optional(&mut limits, "connectTimeoutNs", json!(900_000_000));
+    optional(&mut limits, "maxOpen", json!(50));
+    optional(&mut limits, "maxStreams", json!(1));
+    optional(&mut limits, "mayProbe", json!(true));
+    optional(&mut limits, "retryAfter", json!(true));
+    optional(&mut limits, "maxRetryAfterNs", json!(0));
+    optional(&mut limits, "peers", json!(true));
+    optional(&mut safety, "drainGraceNs", json!(1_000_000));
+    optional(&mut safety, "budgetSpanNs", json!(2_000_000_000));
+    let mode = one(rng, &["pushed", "on_request"]);
+    let mut settings = json!({"balancers": rng.random_range(1..400), "granularityNs": span(rng, 1.0, 20.0),
+        "registryMode": mode, "profiles": profiles,
+        "extra": {"batch": rng.random_range(1..10), "callNs": rng.random_range(0..90_000_000),
+            "followUp": vec![0; classes], "incompleteWorth": each(rng, 0.0), "needByClass": need,
+            "leastShare": need.iter().map(|need| need * rng.random::<f64>()).collect::<Vec<_>>(),
+            "sets": servers, "slices": 40, "width": rng.random_range(1..=servers)},
+        "limits": limits, "safety": safety});
+    let mut optional = |key: &str, value: Value| {
+        if rng.random() {
+            settings[key] = value;
+        }
+    };
+    optional("zones", json!(["z", "elsewhere"]));
+    optional("tenants", json!([{"name": "t", "quotaPerS": 0.5}, {"name": "u", "quotaPerS": 100.0}]));
+    optional("overShareWorth", json!(0.0));
+    optional("stats", json!({"columns": ["pending"], "how": "probe"}));
+    optional("prices", json!({"crossZone": 0.5, "handshake": 0.2, "probe": 1.0, "peer": 0.01}));
+    optional("clients", json!({"marksRetry": true}));
+    settings
+}
+
+// Guards customers whose settings nobody has played: the program starts on each draw, takes queries of each class and
+// answers each with what tile servers gave, as at least one server of each shard runs and has time.
+#[test]
+fn the_program_serves_on_settings_as_others_have_them() {
+    for seed in 0..24 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut stage = Stage::new(&format!("drawn-{seed}"), 0);
+        let servers = rng.random_range(1..4);
+        let lines = (0..servers).map(|cell| line(&format!("s{cell}"), serves(), cell, "up"));
+        stage.config["known"]["endpoints"] = lines.collect();
+        let settings = drawn(&mut rng, servers);
+        stage.config["settings"] = settings.clone();
+        stage.start();
+        let mut client = stage.client();
+        for (number, profile) in settings["profiles"].as_array().expect("a list").iter().enumerate() {
+            let class = profile["name"].as_str().expect("a name");
+            let tenant = if settings["tenants"].is_array() { "X-Tenant-Id: u\r\n" } else { "" };
+            let body =
+                r#"{"tablets":[{"tablet":0,"fraction":0.5},{"tablet":7,"fraction":0.5}],"statement":"t"}"#;
+            client.send(&format!(
+                "POST /{class} HTTP/1.1\r\nX-Request-ID: r{number}\r\nX-Timeout: 60000m\r\nIdempotency-Key: k{number}\r\n\
+                 {tenant}Content-Length: {}\r\n\r\n{body}",
+                body.len()
+            ));
+            let (head, body) = client.answer();
+            assert!(head.starts_with("HTTP/1.1 200 "), "seed {seed}, {class}: {head}{body}\n{settings}");
+            let values: Value = serde_json::from_str(&body).expect("JSON");
+            for piece in values["pieces"].as_array().expect("a list") {
+                assert_eq!(piece["cell"], format!("r{number}.{}", piece["tablet"]), "{body}");
+            }
+        }
+        stage.signal("TERM");
+        assert_eq!(stage.exit(), Some(0), "seed {seed}");
+    }
+}
+
+// Guards operators against a start on settings that can't be true, and against a message that names a field of the
+// program's in place of the key that they wrote.
+#[test]
+fn settings_that_cant_be_used_are_refused_with_key_and_reason() {
+    for (pointer, value, words) in [
+        ("/settings/balancers", json!(0), "settings.balancers: must be at least 1"),
+        ("/settings/balancers", json!(-1), "settings.balancers: "),
+        ("/settings/profiles", json!([]), "settings.profiles: must not be empty"),
+        ("/settings/profiles/0/aimNs", json!(0), "settings.profiles[].aimNs: must be above zero"),
+        ("/settings/profiles/0/deadlineNs", json!(0), "settings.profiles[].deadlineNs: must be above zero"),
+        ("/settings/profiles/0/lateShare", json!(1.5), "settings.profiles[].lateShare: must be in 0..=1"),
+        ("/settings/profiles/0/credit", json!(-1), "settings.profiles[].credit: must be a finite amount"),
+        ("/settings/profiles/0/name", json!(""), "settings.profiles[0].name: is missing"),
+        ("/settings/profiles/0/effect", json!("odd"), "settings.profiles[0].effect: unknown word"),
+        ("/settings/extra/sets", json!(0), "settings.extra.sets: must be at least 1"),
+        ("/settings/extra/slices", json!(0), "settings.extra.slices: must be at least 1"),
+        ("/settings/extra/width", json!(9), "settings.extra.width: must be in 1..=cells"),
+        ("/settings/extra/batch", json!(0), "settings.extra.batch: must be at least 1"),
+        ("/settings/extra/needByClass", json!([2, 1, 1]), "settings.extra.needByClass: must be in 0..=1"),
+        (
+            "/settings/extra/incompleteWorth",
+            json!([1]),
+            "settings.extra.incompleteWorth: has no figure for class 1",
+        ),
+        ("/settings/granularityNs", json!(0), "settings.granularityNs: must be above zero"),
+        ("/settings/limits/maxAttempts", json!(0), "settings.limits.maxAttempts: must be at least 1"),
+        ("/settings/limits/maxStreams", json!(0), "settings.limits.maxStreams: must be above zero"),
+        ("/settings/limits/connIdleNs", json!(0), "settings.limits.connIdleNs: must be above zero"),
+        ("/settings/safety/coldFrom", json!(3), "settings.safety.coldFrom: must be in 0..=1"),
+        ("/settings/safety/fallMultiple", json!(-1), "settings.safety.fallMultiple: must be a finite amount"),
+        ("/settings/safety/drainGraceNs", json!(0), "settings.safety.drainGraceNs: must be above zero"),
+        ("/settings/safety/budgetSpanNs", json!(0), "settings.safety.budgetSpanNs: must have a window"),
+        ("/settings/registryMode", json!("odd"), "settings.registryMode: unknown word"),
+        ("/settings/overShareWorth", json!(-1), "settings.overShareWorth: must be a finite amount"),
+    ] {
+        let mut stage = Stage::new("refused", 2);
+        stage.set(pointer, value);
+        stage.spawn();
+        assert_eq!(stage.exit(), Some(1), "{pointer}");
+        let log = stage.rest_of_log();
+        assert!(log.iter().any(|line| line.contains(words)), "{words}: {log:?}");
+    }
+}
