A router's knowledge can be taken over by another process; which servers are avoided

Cause: in an upgrade the new process started with cold fits and uncounted cold sends, and operators had no figure of what the module avoids.

Ids can be serialized.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::decide::Router;
+use crate::decide::snapshot::{Snapshot, SnapshotError};
 use crate::interface::*;
 use crate::settings::SiteSettings;
 use crate::word::{self, Sighting, Word, short};
@@ -264,6 +265,44 @@
         })
     }
 
+    /// What another process must know to take over from this one at `now`: what the module has learned.
+    ///
+    /// Ids of servers are hashes of their names, so they mean the same there. Nothing is handed over of queries,
+    /// not of keyed or unsafe ones either:
+    ///
+    /// - A query that is open here is answered here, exactly once, and its parts go out again only from here:
+    ///   `may_have_run` and [`Send::latest`] are kept for each part of an open query and end with it, in `close`.
+    /// - A client's own retry is a new query, whichever process takes it: no process keeps an idempotency key
+    ///   beyond the query that brought it. The key goes out with each part, and the servers drop what they have
+    ///   run under it within the class's window. That holds whichever process sent the first attempt.
+    /// - A class that is [`Effect::Unsafe`] has no key. A query of it that may have run ends as [`Final::Failed`],
+    ///   which invites no retry, and one that is [`Final::Refused`] never ran.
+    ///
+    /// Word for other brokers that is not said yet is dropped, and ids of queries and parts start anew: they are
+    /// names within one process.
+    pub fn snapshot(&self, now: Time) -> Snapshot {
+        self.router.snapshot(now)
+    }
+
+    /// Takes over what another process has learned, before or after the first list of servers; see
+    /// [`Router::restore`].
+    ///
+    /// # Errors
+    ///
+    /// When the snapshot does not fit the settings, is not sound, or a query was taken already. The core is
+    /// unchanged then.
+    pub fn restore(&mut self, now: Time, snapshot: &Snapshot) -> Result<(), SnapshotError> {
+        if self.last_id > 0 {
+            return Err(SnapshotError::InUse);
+        }
+        self.router.restore(now, snapshot)
+    }
+
+    /// The listed servers that the module avoids at present; see [`Router::avoided`].
+    pub fn avoided(&self) -> Vec<ServerId> {
+        self.router.avoided()
+    }
+
     /// Keeps what each step was about from now on, for [`Core::observed`].
     pub fn observe(&mut self) {
         self.observed = Some(Box::default());
--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -11,6 +11,9 @@
 
 use crate::interface::*;
 
+mod avoided;
+pub mod snapshot;
+
 /// Features of the fit: intercept, cost of the class, own work out at the server, its reported load, and what
 /// the part's hint says beyond the cost of its class.
 const FEATURES: usize = 5;
@@ -117,7 +120,7 @@
 }
 
 /// What is known of a server.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Server {
     listed: Listed,
     fit: Fit,
@@ -141,7 +144,7 @@
 }
 
 /// What this front node has out at a server.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Out {
     calls: BTreeSet<u64>,
     /// Its work in units.
@@ -257,6 +260,7 @@
     longest: Duration,
     margin: Duration,
     servers: BTreeMap<ServerId, Server>,
+    inherited: snapshot::Inherited,
     /// Servers by cell.
     cells: BTreeMap<u32, Vec<ServerId>>,
     pool: Fit,
@@ -419,16 +423,15 @@
     fn take_list(&mut self, list: &[Listed]) {
         for listed in list {
             let listed = Listed { cell: listed.cell % self.settings.cells, ..listed.clone() };
-            let known = self.servers.get_mut(&listed.server);
+            let known = self.servers.get_mut(&listed.server).map(|server| &mut server.listed);
             if listed.state == ServerState::Removed {
                 self.servers.remove(&listed.server);
-            } else if let Some(server) = known.filter(|s| s.listed.started == listed.started) {
-                let until =
-                    if server.listed.state == listed.state { server.listed.until } else { listed.until };
-                server.listed = Listed { until, ..listed };
+            } else if let Some(known) = known.filter(|k| k.started == listed.started) {
+                let until = if known.state == listed.state { known.until } else { listed.until };
+                *known = Listed { until, ..listed };
             } else {
                 // A restart resets the fit: the process that comes back has nothing of the old one's trouble.
-                self.servers.insert(listed.server, Server { listed, ..Server::default() });
+                self.servers.insert(listed.server, self.inherited.server(listed));
             }
         }
         self.cells.clear();
@@ -673,18 +676,17 @@
         let busy: Vec<ServerId> = part.live.iter().filter_map(out).collect();
         let call_cost = settings.call_cost.as_secs_f64() / self.unit;
         let mut candidates: Vec<Candidate> = Vec::new();
-        let held_by = holders.len();
         let needed = query.parts.iter().filter(|p| !p.served).count().max(1) as f64;
         let spreads = CHECK_SPREADS + if self.is_told() { TOLD_SPREADS * needed.ln() } else { 0.0 };
         let mut closed: Option<((bool, bool, u64), ServerId, Left)> = None;
-        for id in holders {
+        for &id in &holders {
             let Some(server) = self.servers.get(&id) else { continue };
             let (calls, overdue) = self.out.get(&id).map_or((0, 0.0), |out| (out.calls.len(), out.overdue));
             let planned = self.planned.get(&id).copied().unwrap_or((0, 0.0));
             let crosses = settings.cross_zone_price > 0.0 && server.listed.zone != settings.zone;
             // Where calls are shared the query alone picks the home, so that neighbouring shards meet there.
             let shard = if settings.batch > 1 && call_cost > 0.0 { 0 } else { u64::from(part.shard.0) };
-            let room = self.cold_room(server, part, query.class, held_by);
+            let room = self.cold_room(server, part, query.class, holders.len());
             let drawn = room == Some(true);
             let home = (drawn, !crosses, mix(query.hash ^ mix(shard ^ mix(id.0 ^ 0x5eed))));
             // One that drains takes, for as long as the rules allow, what others would take much longer for.
--- /dev/null
+++ b/crates/core/src/decide/snapshot.rs
@@ -0,0 +1,518 @@
+//! What a router has learned, in a form that another process can take over.
+//!
+//! In an upgrade a new process takes the place of a running one. [`Router::snapshot`] gives what the old
+//! router knows, [`Router::restore`] puts it into the new one, so that predictions do not start cold and the
+//! limits on cold servers and on further attempts count what the old process has sent.
+//!
+//! Every moment in a [`Snapshot`] is an [`Age`], as the two processes' clocks have different origins.
+//!
+//! # What is taken over
+//!
+//! | state | taken over | why |
+//! | --- | --- | --- |
+//! | fits of the servers and of the pool | the sums, not the weights | each refit computes the weights from the sums |
+//! | `bound`, `report`, `good`, `bad`, `heard`, `last_sent` of a server | yes | they rank it and limit what it is sent |
+//! | `cold_sends` of a server, `born` | yes | both processes together stay within a cold server's limit |
+//! | `last_used`, `lost` of a server | no | they describe connections, and the new process opens its own |
+//! | list entry of a server | its start only | the new process has a list of its own; the start identifies the server's process |
+//! | `classes`, `asked`, `cells_asked`, `told` | yes | learned from the traffic |
+//! | use of the quotas | yes, not the rates | the rates come from the settings |
+//! | `taken`, `further` | yes | the budget of further attempts holds for both processes together |
+//! | `ends` | yes | a property of the network and the servers |
+//! | `now` | as the age of the last step | the next step fades what is faded by elapsed time |
+//! | `queries`, `attempts`, `out`, `planned`, `fresh` | no | open queries stay with the old process |
+//! | `steps`, `timer_at`, `watch_at` | no | names of timers and the subscription are the new process's own |
+//! | `settings` and what is computed from them, `seed`, `cells` | no | given at the start, or by the list |
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::{ClassState, FEATURES, Features, Fit, Node, Router, Server};
+use crate::interface::{Listed, ServerId, Time};
+
+/// Version of the snapshot's layout.
+pub const VERSION: u32 = 1;
+/// Starts of a server that two processes' clocks place within this span are one start: the difference is the
+/// time between snapshot and restore, and a step of the system's clock between the two programs' starts.
+const START_TOLERANCE: Duration = Duration::from_secs(2);
+/// Most entries of the budget's window that a snapshot may hold.
+const MAX_BUDGET_ENTRIES: u64 = 10_000_000;
+
+/// How long before the snapshot a moment was, in nanoseconds; negative for a moment after it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Age(pub i64);
+
+impl Age {
+    fn of(now: Time, moment: Time) -> Age {
+        let nanos = i128::from(now.0) - i128::from(moment.0);
+        Age(nanos.clamp(i128::from(i64::MIN), i128::from(i64::MAX)) as i64)
+    }
+
+    /// The age of a moment for which [`Time`] zero stands for "never".
+    fn of_event(now: Time, moment: Time) -> Option<Age> {
+        (moment > Time(0)).then(|| Age::of(now, moment))
+    }
+
+    /// The moment on a clock that now reads `now`, or the origin where it lies before that.
+    fn moment(self, now: Time) -> Time {
+        let nanos = i128::from(now.0) - i128::from(self.0);
+        Time(nanos.clamp(0, i128::from(u64::MAX)) as u64)
+    }
+}
+
+fn moment_or_never(age: Option<Age>, now: Time) -> Time {
+    age.map_or(Time(0), |age| age.moment(now))
+}
+
+/// The sums of a least-squares fit.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FitSnapshot {
+    /// The matrix of products of features, column by column.
+    pub products: Vec<f64>,
+    /// The products of features and times.
+    pub targets: Vec<f64>,
+    /// Faded count of outcomes.
+    pub count: f64,
+    /// Faded sum of relative errors.
+    pub errors: f64,
+    /// When the sums were last faded.
+    pub faded: Option<Age>,
+}
+
+/// Work sent to a server while it was cold.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdSend {
+    /// When it was sent.
+    pub sent: Age,
+    /// Its work in seconds.
+    pub work_seconds: f64,
+}
+
+/// What was learned of a server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServerSnapshot {
+    /// When its process started, if lately: knowledge of one process is of no use for the next.
+    pub started: Option<Age>,
+    /// Its own fit.
+    pub fit: FitSnapshot,
+    /// Least time of its last attempts that were not served, in units of the fit.
+    pub bound: f64,
+    /// Its last reported load.
+    pub report: f64,
+    /// Faded count of bad ends.
+    pub bad: f64,
+    /// Faded count of good ends.
+    pub good: f64,
+    /// When something was last sent there, or told of it.
+    pub last_sent: Option<Age>,
+    /// When it last answered.
+    pub heard: Option<Age>,
+    /// What it was sent while cold, within the cold window.
+    pub cold_sends: Vec<ColdSend>,
+}
+
+/// What was learned of a class.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ClassSnapshot {
+    /// Its aim: the unit of all predicted times follows from the aims.
+    pub aim_nanos: u64,
+    /// Learned cost of a part, in units of the fit.
+    pub cost: f64,
+    /// How many outcomes taught the cost.
+    pub cost_count: f64,
+    /// Faded count of parts asked.
+    pub asked: f64,
+    /// Mean of the hints, in seconds.
+    pub hint_seconds: f64,
+    /// How many hints taught the mean.
+    pub hint_count: f64,
+    /// Time left that most tries come with.
+    pub usual_nanos: u64,
+    /// Votes for it.
+    pub votes: u8,
+}
+
+/// How many entries of the budget's window fell on one moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entries {
+    /// The moment.
+    pub at: Age,
+    /// How many.
+    pub count: u64,
+}
+
+/// What a router has learned. See the module's page for what it holds and what it does not.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Version of the layout, [`VERSION`].
+    pub version: u32,
+    /// When the router last made a step: its faded counts are those of that moment.
+    pub stepped: Age,
+    /// When the router made its first step, or that from which it took over; none if it made none.
+    pub born: Option<Age>,
+    /// When another front node last told of anything.
+    pub told: Option<Age>,
+    /// What was learned of each listed server.
+    pub servers: BTreeMap<ServerId, ServerSnapshot>,
+    /// The fit over all servers.
+    pub pool: FitSnapshot,
+    /// The classes, by index.
+    pub classes: Vec<ClassSnapshot>,
+    /// Queries lately within each tenant's quota, by index.
+    pub quotas_used: Vec<f64>,
+    /// Queries and parts taken within the budget's window.
+    pub taken: Vec<Entries>,
+    /// Further attempts made within the budget's window.
+    pub further: Vec<Entries>,
+    /// Shares of bad ends on connections long idle, and on fresh ones.
+    pub ends: [f64; 2],
+    /// Faded worth of what was asked.
+    pub asked: f64,
+    /// Faded counts of parts asked and sent, by the first cell that holds them.
+    pub cells_asked: Vec<[f64; 2]>,
+}
+
+/// Why a snapshot was not taken over.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SnapshotError {
+    /// Its layout is another one.
+    #[error("snapshot: layout version {found}, expected {expected}")]
+    Version {
+        /// The snapshot's version.
+        found: u32,
+        /// The version read here.
+        expected: u32,
+    },
+    /// A list in it has another length than the settings ask for.
+    #[error("snapshot: {field} has {found} entries, expected {expected}")]
+    Length {
+        /// The list.
+        field: &'static str,
+        /// Its length.
+        found: usize,
+        /// The length asked for.
+        expected: usize,
+    },
+    /// A class has another aim than in the settings.
+    #[error("snapshot: class {class} has another aim")]
+    Aim {
+        /// Index of the class.
+        class: usize,
+    },
+    /// A number in it can't be true.
+    #[error("snapshot: {field} {fault}")]
+    Number {
+        /// The field.
+        field: &'static str,
+        /// What is wrong with it.
+        fault: &'static str,
+    },
+    /// The router has taken a query already: what it learned itself would be lost.
+    #[error("snapshot: the router has already taken queries")]
+    InUse,
+}
+
+impl Router {
+    /// What the router has learned, with moments relative to `now`, which is not before its last step.
+    pub fn snapshot(&self, now: Time) -> Snapshot {
+        self.0.snapshot(now)
+    }
+
+    /// Takes over what another router has learned. `now` is the moment on this router's clock at which the
+    /// snapshot was taken. Where only a later moment is known, all ages come out too short by the difference:
+    /// cold servers then get less than they might, and the window of the budget counts requests for longer.
+    ///
+    /// The list of servers may have come before or may come later. What was learned of a server applies when
+    /// the list names it, with the same start; until then it is kept aside and no decision sees it.
+    ///
+    /// The other router must send nothing to cold servers after the snapshot was taken: it would not be counted.
+    ///
+    /// # Errors
+    ///
+    /// When the snapshot does not fit the settings, holds numbers that can't be true, or this router has taken
+    /// queries already. The router is unchanged then.
+    pub fn restore(&mut self, now: Time, snapshot: &Snapshot) -> Result<(), SnapshotError> {
+        self.0.check_unused()?;
+        self.0.check_shape(snapshot)?;
+        check_numbers(snapshot)?;
+        self.0.restore(now, snapshot);
+        Ok(())
+    }
+}
+
+/// What was taken over of servers that no list has named yet.
+#[derive(Default)]
+pub(super) struct Inherited(BTreeMap<ServerId, Server>);
+
+impl Inherited {
+    /// The state of a server that is new in the list: what was taken over of the same process of it, if anything.
+    pub(super) fn server(&mut self, listed: Listed) -> Server {
+        let known = self.0.remove(&listed.server);
+        let known = known.filter(|known| is_same_start(known.listed.started, listed.started));
+        Server { listed, ..known.unwrap_or_default() }
+    }
+}
+
+/// Whether a start that was taken over and one from the list are the same.
+fn is_same_start(known: Option<Time>, listed: Option<Time>) -> bool {
+    match (known, listed) {
+        (Some(known), Some(listed)) => known.since(listed).max(listed.since(known)) <= START_TOLERANCE,
+        // A start before the origin of the new process's clock can't be told by it.
+        (Some(known), None) => known <= Time(0).after(START_TOLERANCE),
+        (None, listed) => listed.is_none(),
+    }
+}
+
+impl Node {
+    fn snapshot(&self, now: Time) -> Snapshot {
+        let classes = self.settings.classes.iter().zip(&self.classes);
+        let server = |(id, server): (&ServerId, &Server)| (*id, self.server_snapshot(server, now));
+        Snapshot {
+            version: VERSION,
+            stepped: Age::of(now, self.now),
+            born: (self.steps > 0).then(|| Age::of(now, self.born)),
+            told: self.told.map(|told| Age::of(now, told)),
+            servers: self.servers.iter().map(server).collect(),
+            pool: FitSnapshot::of(&self.pool, now),
+            classes: classes.map(|(class, state)| ClassSnapshot::of(class.aim, state)).collect(),
+            quotas_used: self.quotas.iter().map(|(_, used)| *used).collect(),
+            taken: Entries::of(&self.taken, now),
+            further: Entries::of(&self.further, now),
+            ends: self.ends,
+            asked: self.asked,
+            cells_asked: self.cells_asked.clone(),
+        }
+    }
+
+    fn server_snapshot(&self, server: &Server, now: Time) -> ServerSnapshot {
+        let cold_start = now.before(self.settings.cold.window);
+        let cold_sends = server.cold_sends.iter().filter(|(sent, _)| *sent >= cold_start);
+        let cold_send =
+            |&(sent, work_seconds): &(Time, f64)| ColdSend { sent: Age::of(now, sent), work_seconds };
+        ServerSnapshot {
+            started: server.listed.started.map(|started| Age::of(now, started)),
+            fit: FitSnapshot::of(&server.fit, now),
+            bound: server.bound,
+            report: server.report,
+            bad: server.bad,
+            good: server.good,
+            last_sent: Age::of_event(now, server.last_sent),
+            heard: Age::of_event(now, server.heard),
+            cold_sends: cold_sends.map(cold_send).collect(),
+        }
+    }
+
+    fn check_unused(&self) -> Result<(), SnapshotError> {
+        let unused = self.queries.is_empty() && self.attempts.is_empty() && self.asked == 0.0;
+        if unused { Ok(()) } else { Err(SnapshotError::InUse) }
+    }
+
+    fn check_shape(&self, snapshot: &Snapshot) -> Result<(), SnapshotError> {
+        if snapshot.version != VERSION {
+            return Err(SnapshotError::Version { found: snapshot.version, expected: VERSION });
+        }
+        check_length("classes", snapshot.classes.len(), self.classes.len())?;
+        check_length("quotas_used", snapshot.quotas_used.len(), self.quotas.len())?;
+        check_length("cells_asked", snapshot.cells_asked.len(), self.cells_asked.len())?;
+        let aims = self.settings.classes.iter().map(|class| saturating_nanos(class.aim));
+        let mut classes = snapshot.classes.iter().zip(aims);
+        match classes.position(|(class, aim)| class.aim_nanos != aim) {
+            Some(class) => Err(SnapshotError::Aim { class }),
+            None => Ok(()),
+        }
+    }
+
+    /// Puts a checked snapshot in place.
+    fn restore(&mut self, now: Time, snapshot: &Snapshot) {
+        let stepped = snapshot.stepped.moment(now);
+        if let Some(born) = snapshot.born {
+            // The start-up rules of a new process would count what the old one sent as not sent.
+            self.born = born.moment(now);
+            self.steps = self.steps.max(1);
+        }
+        self.told = snapshot.told.map(|told| told.moment(now));
+        self.pool = snapshot.pool.fit(now);
+        self.classes = snapshot.classes.iter().map(ClassSnapshot::state).collect();
+        for ((_, used), inherited) in self.quotas.iter_mut().zip(&snapshot.quotas_used) {
+            *used = *inherited;
+        }
+        self.taken = Entries::moments(&snapshot.taken, now);
+        self.further = Entries::moments(&snapshot.further, now);
+        self.ends = snapshot.ends;
+        self.asked = snapshot.asked;
+        self.cells_asked.clone_from(&snapshot.cells_asked);
+        self.restore_servers(now, snapshot);
+        // What fades by elapsed time is as of the old router's last step; this one may have made a later step.
+        self.now = self.now.max(stepped);
+        self.age(self.now.since(stepped).as_secs_f64());
+    }
+
+    fn restore_servers(&mut self, now: Time, snapshot: &Snapshot) {
+        let servers = snapshot.servers.iter();
+        self.inherited = Inherited(servers.map(|(id, server)| (*id, server.state(now))).collect());
+        for server in self.servers.values_mut() {
+            *server = self.inherited.server(std::mem::take(&mut server.listed));
+        }
+    }
+}
+
+impl FitSnapshot {
+    fn of(fit: &Fit, now: Time) -> Self {
+        FitSnapshot {
+            products: fit.a.as_slice().to_vec(),
+            targets: fit.b.as_slice().to_vec(),
+            count: fit.count,
+            errors: fit.errors,
+            faded: Age::of_event(now, fit.faded),
+        }
+    }
+
+    /// The fit, with weights that are computed when it is next looked at.
+    fn fit(&self, now: Time) -> Fit {
+        let mut fit = Fit { b: Features::from_column_slice(&self.targets), ..Fit::default() };
+        fit.a.copy_from_slice(&self.products);
+        fit.count = self.count;
+        fit.errors = self.errors;
+        fit.faded = moment_or_never(self.faded, now);
+        fit
+    }
+
+    fn check(&self) -> Result<(), SnapshotError> {
+        check_length("fit.products", self.products.len(), FEATURES * FEATURES)?;
+        check_length("fit.targets", self.targets.len(), FEATURES)?;
+        check_finite("fit.products", &self.products)?;
+        check_finite("fit.targets", &self.targets)?;
+        check_amounts("fit.count", &[self.count])?;
+        check_amounts("fit.errors", &[self.errors])
+    }
+}
+
+impl ServerSnapshot {
+    fn state(&self, now: Time) -> Server {
+        let started = self.started.map(|started| started.moment(now));
+        let cold_sends = self.cold_sends.iter().map(|send| (send.sent.moment(now), send.work_seconds));
+        let mut cold_sends: Vec<(Time, f64)> = cold_sends.collect();
+        cold_sends.sort_by_key(|(sent, _)| *sent);
+        Server {
+            listed: Listed { started, ..Listed::default() },
+            fit: self.fit.fit(now),
+            bound: self.bound,
+            report: self.report,
+            bad: self.bad,
+            good: self.good,
+            last_sent: moment_or_never(self.last_sent, now),
+            heard: moment_or_never(self.heard, now),
+            cold_sends: cold_sends.into(),
+            ..Server::default()
+        }
+    }
+
+    fn check(&self) -> Result<(), SnapshotError> {
+        self.fit.check()?;
+        check_amounts("server.bound", &[self.bound])?;
+        check_finite("server.report", &[self.report])?;
+        check_amounts("server.bad", &[self.bad])?;
+        check_amounts("server.good", &[self.good])?;
+        let work: Vec<f64> = self.cold_sends.iter().map(|send| send.work_seconds).collect();
+        check_amounts("server.cold_sends", &work)
+    }
+}
+
+impl ClassSnapshot {
+    fn of(aim: Duration, state: &ClassState) -> Self {
+        ClassSnapshot {
+            aim_nanos: saturating_nanos(aim),
+            cost: state.cost,
+            cost_count: state.count,
+            asked: state.asked,
+            hint_seconds: state.hint.0,
+            hint_count: state.hint.1,
+            usual_nanos: saturating_nanos(state.usual),
+            votes: state.votes,
+        }
+    }
+
+    fn state(&self) -> ClassState {
+        ClassState {
+            cost: self.cost,
+            count: self.cost_count,
+            asked: self.asked,
+            hint: (self.hint_seconds, self.hint_count),
+            usual: Duration::from_nanos(self.usual_nanos),
+            votes: self.votes,
+        }
+    }
+
+    fn check(&self) -> Result<(), SnapshotError> {
+        if !(self.cost.is_finite() && self.cost > 0.0) {
+            return Err(SnapshotError::Number {
+                field: "class.cost",
+                fault: "must be finite and above zero",
+            });
+        }
+        check_amounts("class.cost_count", &[self.cost_count])?;
+        check_amounts("class.asked", &[self.asked])?;
+        check_amounts("class.hint_seconds", &[self.hint_seconds])?;
+        check_amounts("class.hint_count", &[self.hint_count])
+    }
+}
+
+impl Entries {
+    fn of(moments: &VecDeque<Time>, now: Time) -> Vec<Entries> {
+        let mut entries: Vec<Entries> = Vec::new();
+        for moment in moments {
+            let at = Age::of(now, *moment);
+            match entries.last_mut() {
+                Some(last) if last.at == at => last.count += 1,
+                _ => entries.push(Entries { at, count: 1 }),
+            }
+        }
+        entries
+    }
+
+    fn moments(entries: &[Entries], now: Time) -> VecDeque<Time> {
+        let mut sorted = entries.to_vec();
+        sorted.sort_by_key(|entry| std::cmp::Reverse(entry.at));
+        let repeated = |entry: &Entries| std::iter::repeat_n(entry.at.moment(now), entry.count as usize);
+        sorted.iter().flat_map(repeated).collect()
+    }
+}
+
+fn check_numbers(snapshot: &Snapshot) -> Result<(), SnapshotError> {
+    snapshot.pool.check()?;
+    snapshot.servers.values().try_for_each(ServerSnapshot::check)?;
+    snapshot.classes.iter().try_for_each(ClassSnapshot::check)?;
+    check_amounts("quotas_used", &snapshot.quotas_used)?;
+    check_amounts("ends", &snapshot.ends)?;
+    check_amounts("asked", &[snapshot.asked])?;
+    check_amounts("cells_asked", snapshot.cells_asked.as_flattened())?;
+    check_entries("taken", &snapshot.taken)?;
+    check_entries("further", &snapshot.further)
+}
+
+fn check_length(field: &'static str, found: usize, expected: usize) -> Result<(), SnapshotError> {
+    if found == expected { Ok(()) } else { Err(SnapshotError::Length { field, found, expected }) }
+}
+
+fn check_finite(field: &'static str, numbers: &[f64]) -> Result<(), SnapshotError> {
+    let holds = numbers.iter().all(|number| number.is_finite());
+    if holds { Ok(()) } else { Err(SnapshotError::Number { field, fault: "must be finite" }) }
+}
+
+fn check_amounts(field: &'static str, numbers: &[f64]) -> Result<(), SnapshotError> {
+    let holds = numbers.iter().all(|number| number.is_finite() && *number >= 0.0);
+    if holds { Ok(()) } else { Err(SnapshotError::Number { field, fault: "must be a finite amount" }) }
+}
+
+fn check_entries(field: &'static str, entries: &[Entries]) -> Result<(), SnapshotError> {
+    let sum = entries.iter().fold(0_u64, |sum, entry| sum.saturating_add(entry.count));
+    let holds = sum <= MAX_BUDGET_ENTRIES;
+    if holds { Ok(()) } else { Err(SnapshotError::Number { field, fault: "has too many entries" }) }
+}
+
+fn saturating_nanos(span: Duration) -> u64 {
+    u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)
+}
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -5,6 +5,8 @@
 use std::fmt;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// A moment on the caller's clock, in nanoseconds from an arbitrary origin.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Time(pub u64);
@@ -29,7 +31,7 @@
 macro_rules! id {
     ($(#[$doc:meta] $name:ident($inner:ty);)*) => {$(
         #[$doc]
-        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         pub struct $name(pub $inner);
     )*};
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -111,4 +111,5 @@
 pub mod word;
 
 pub use decide::Router;
+pub use decide::snapshot::{Snapshot, SnapshotError};
 pub use interface::*;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,4 +17,5 @@
 pub use badgergauge_net as net;
 
 pub use decide::Router;
+pub use decide::snapshot::{Snapshot, SnapshotError};
 pub use interface::*;
