Upgrade: the new process takes over listening sockets and what the old one has learned

Before, the second process bound the address beside the first by SO_REUSEPORT: the system deals connections to two queues, and what waits in the old one when it is closed is reset. Fits began cold.

crates/handover: messages with a version, a state machine without I/O on either side, a channel that carries sockets (SCM_RIGHTS), the path in $TMPDIR where the two meet, and how both share the limit on descriptors. src/upgrade.rs and src/broker/upgrade.rs carry it out. The old process keeps its copy of the sockets: should the new one end before SIGTERM comes, it accepts again. Another user's process, another version, another broker, a second successor, a stale socket or a foreign file in the folder are refused or passed over, and the start goes on by SO_REUSEPORT. out_of_rotation now counts what the module avoids, not only what drains.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -1,10 +1,13 @@
 //! The broker's loop: it gathers what is ready, hands it to the core in one step, and carries out
 //! what comes back, in order.
 
+mod upgrade;
+
 use std::collections::HashMap;
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -12,6 +15,7 @@
 use rustix::io::Errno;
 use signal_hook::consts::{SIGHUP, SIGTERM};
 
+use self::upgrade::role_of;
 use crate::backend::{Backend, Done};
 use crate::config::Config;
 use crate::config::settings::SiteSettings;
@@ -28,6 +32,7 @@
 use crate::net::{Due, Net, Ready, datagrams, listen};
 use crate::record::Tape;
 use crate::state::Keeper;
+use crate::upgrade::{RENDEZVOUS, TO_PREDECESSOR, TO_SUCCESSOR, Upgrade};
 use crate::word;
 
 const LISTEN: usize = 0;
@@ -108,6 +113,10 @@
     looked: Time,
     /// The listeners, by key, until SIGTERM.
     listeners: Vec<(usize, TcpListener)>,
+    /// Listeners on which a successor accepts in this process's place.
+    released: Vec<(usize, TcpListener)>,
+    /// Hand-overs, where they are on.
+    upgrade: Option<Upgrade>,
     front: Front,
     signal: UnixStream,
     /// What signals have asked for; `signal` wakes the loop to look.
@@ -116,6 +125,10 @@
     config: Config,
     clients: HashMap<usize, Client<Pending>>,
     most_clients: usize,
+    /// How many clients may be held while no other process of this broker runs.
+    most_clients_alone: usize,
+    /// Descriptors for all but clients.
+    fixed_descriptors: usize,
     /// What clients' buffers hold, and what they may hold together.
     buffered: usize,
     most_buffered: usize,
@@ -159,7 +172,8 @@
         let by_memory = memory / CLIENT_SHARE / CLIENT_MEMORY;
         let is_operated = config.control.is_some();
         let reserved = RESERVED + if is_operated { MAX_DESCRIPTORS } else { 0 };
-        let by_descriptors = config.bounds.sockets.saturating_sub(reserved + backend_links);
+        let fixed_descriptors = reserved + backend_links;
+        let by_descriptors = config.bounds.sockets.saturating_sub(fixed_descriptors);
         let most_clients = by_descriptors.min(by_memory).max(1);
         let operations = Arc::new(Operations::new(Statistics::new(&settings.classes)));
         if let Some(address) = config.control {
@@ -189,11 +203,19 @@
             let source = Source::of(&settings.module, settings.drain_grace);
             Watch::new(at, known.as_ref(), clock, Pace::new(clock.now(), source, config.seed))
         });
+        let folder = is_operated.then(shared_folder).flatten();
+        let (mut upgrade, offer) =
+            folder.map(|folder| Upgrade::begin(&folder, &config.name, config.listen)).unzip();
+        let offer = offer.flatten();
         let peers = config
             .peers
             .take()
             .filter(|(_, all)| core.talks() && all.len() == settings.module.front_nodes as usize);
-        let peers = peers.map(|(at, all)| peer_socket(&net, at, is_operated).map(|socket| (socket, all)));
+        let peers = peers.map(|(at, all)| {
+            let adopted = upgrade.as_mut().and_then(|upgrade: &mut Upgrade| upgrade.take_datagrams(at));
+            let socket = adopted.map_or_else(|| datagrams(at, is_operated), Ok);
+            socket.map(|socket| (socket, all))
+        });
         let peers = peers.transpose().map_err(|error| invalid(format!("peer_listen: {error}")))?;
         let front = Front::new(settings.clone(), config.ogc.clone(), config.seed);
         let now = clock.now();
@@ -217,12 +239,16 @@
             watch_away: false,
             looked: now,
             listeners: Vec::new(),
+            released: Vec::new(),
+            upgrade,
             front,
             signal,
             asked,
             config,
             clients: HashMap::new(),
             most_clients,
+            most_clients_alone: most_clients,
+            fixed_descriptors,
             buffered: 0,
             most_buffered: memory / CLIENT_SHARE,
             again: Vec::new(),
@@ -233,6 +259,9 @@
             last_step: Time(0),
             commands: Vec::new(),
         };
+        if let Some(offer) = offer {
+            broker.take_over(now, &offer);
+        }
         let bound = broker.net.clock.now();
         broker.await_list()?;
         let listed = broker.net.clock.now();
@@ -240,6 +269,9 @@
             broker.listen()?;
         }
         broker.lifecycle.started();
+        if let Some(upgrade) = broker.upgrade.as_mut().filter(|_| broker.lifecycle.is_serving()) {
+            upgrade.listening(&broker.net);
+        }
         let ms = |from: Time, to: Time| to.since(from).as_secs_f64() * 1e3;
         let ready = broker.net.clock.now();
         broker.heed_operators(ready);
@@ -279,11 +311,16 @@
         let fronts = [(LISTEN, Some(self.config.listen), "clients"), (OGC_LISTEN, ogc, "OGC clients")];
         for (key, at, front) in fronts {
             let Some(at) = at else { continue };
-            let listener = listen(at, self.is_operated).map_err(|error| invalid(format!("{at}: {error}")))?;
+            let adopted = self.upgrade.as_mut().and_then(|upgrade| upgrade.take_listener(role_of(key), at));
+            let listener = adopted.map_or_else(|| listen(at, self.is_operated), Ok);
+            let listener = listener.map_err(|error| invalid(format!("{at}: {error}")))?;
             self.net.poll.add(&listener, key, true, false)?;
             tracing::info!("{} listens to {front} on {}", self.config.name, listener.local_addr()?);
             self.listeners.push((key, listener));
         }
+        if let Some((socket, _)) = &self.peers {
+            self.net.poll.add(socket, PEERS, true, false)?;
+        }
         Ok(())
     }
 
@@ -354,6 +391,13 @@
             SIGNAL => self.signalled(now),
             WATCH => self.watch_ready(now),
             PEERS => self.hear(),
+            RENDEZVOUS => {
+                if let Some(upgrade) = &mut self.upgrade {
+                    upgrade.accept(&self.net);
+                }
+            }
+            TO_SUCCESSOR => self.successor_ready(now),
+            TO_PREDECESSOR => self.predecessor_ready(),
             _ if self.backend.ready(&mut self.net, now, key, readable) => {}
             _ => self.client_ready(now, key),
         }
@@ -944,7 +988,7 @@
     /// Sets the gauges that take a look at all servers.
     fn set_gauges(&mut self, now: Time) {
         let (up, draining) = self.core.listed();
-        self.operations.statistics().set_servers(up + draining, draining);
+        self.operations.statistics().set_servers(up + draining, self.core.avoided().len());
         self.net.wheel.arm(now.after(GAUGES_PAUSE), Due::Gauges);
     }
 
@@ -969,11 +1013,9 @@
     errors.iter().any(|errno| error.raw_os_error() == Some(errno.raw_os_error()))
 }
 
-/// The socket on which word comes.
-fn peer_socket(net: &Net, at: SocketAddr, shared: bool) -> io::Result<UdpSocket> {
-    let socket = datagrams(at, shared)?;
-    net.poll.add(&socket, PEERS, true, false)?;
-    Ok(socket)
+/// The folder that processes of one broker share, where they were given one.
+fn shared_folder() -> Option<PathBuf> {
+    std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty()).map(PathBuf::from)
 }
 
 /// Gives a list to the core, and its addresses to the connections.
--- /dev/null
+++ b/src/broker/upgrade.rs
@@ -0,0 +1,114 @@
+//! What the broker does in a hand-over, as predecessor and as successor.
+
+use std::os::fd::{AsFd, BorrowedFd};
+
+use super::{Broker, OGC_LISTEN, PEERS};
+use crate::handover::{ClientLimits, Offer, PredecessorAction, SocketRole, joint_client_limits};
+use crate::interface::Time;
+
+impl Broker {
+    /// The channel to the successor is ready.
+    pub(super) fn successor_ready(&mut self, now: Time) {
+        let stopping = self.lifecycle.is_stopping();
+        let Some(upgrade) = &mut self.upgrade else { return };
+        match upgrade.successor_ready(&self.net, stopping) {
+            PredecessorAction::None | PredecessorAction::Refuse(_) => {}
+            PredecessorAction::Offer => self.offer_sockets(now),
+            PredecessorAction::StopAccepting => self.stop_accepting(),
+            PredecessorAction::ResumeAccepting => self.resume_accepting(),
+        }
+    }
+
+    /// Gives the listening sockets to the successor, and goes on to accept.
+    fn offer_sockets(&mut self, now: Time) {
+        let limits = self.joint_limits(self.clients.len());
+        let snapshot = serde_json::to_string(&self.core.snapshot(now)).ok();
+        let Some(upgrade) = &mut self.upgrade else { return };
+        let mut roles = Vec::new();
+        let mut sockets: Vec<BorrowedFd<'_>> = Vec::new();
+        for (key, listener) in &self.listeners {
+            roles.push(role_of(*key));
+            sockets.push(listener.as_fd());
+        }
+        if let Some((socket, _)) = &self.peers {
+            roles.push(SocketRole::Peers);
+            sockets.push(socket.as_fd());
+        }
+        let offer = Offer { roles, clients: self.clients.len(), snapshot };
+        upgrade.offer(&self.net, offer, &sockets);
+        self.most_clients = self.most_clients.min(limits.predecessor);
+        tracing::info!("upgrade: a new process has the listening sockets and gets ready");
+    }
+
+    /// How many clients this process and another one beside it may hold.
+    fn joint_limits(&self, predecessor_clients: usize) -> ClientLimits {
+        joint_client_limits(self.config.bounds.sockets, self.fixed_descriptors, predecessor_clients)
+    }
+
+    /// The successor takes the clients from now on. The sockets are kept, in case that it fails.
+    fn stop_accepting(&mut self) {
+        for (key, listener) in self.listeners.drain(..) {
+            self.net.poll.remove(&listener);
+            self.released.push((key, listener));
+        }
+        if let Some((socket, _)) = &self.peers {
+            self.net.poll.remove(socket);
+        }
+        if let Some(upgrade) = &mut self.upgrade {
+            upgrade.leave_rendezvous(&self.net);
+        }
+        self.lifecycle.set_handed_over(true);
+        tracing::info!("upgrade: the new process takes clients, {} are left here", self.clients.len());
+    }
+
+    /// The successor has ended, and this process goes on in its place.
+    fn resume_accepting(&mut self) {
+        for (key, listener) in self.released.drain(..) {
+            if self.net.poll.add(&listener, key, true, false).is_ok() {
+                self.listeners.push((key, listener));
+            }
+        }
+        if let Some((socket, _)) = &self.peers {
+            let _ = self.net.poll.add(socket, PEERS, true, false);
+        }
+        if let Some(upgrade) = &mut self.upgrade {
+            upgrade.await_successor(&self.net);
+        }
+        self.lifecycle.set_handed_over(false);
+        self.most_clients = self.most_clients_alone;
+        tracing::warn!("upgrade: the new process has ended, clients are taken here again");
+    }
+
+    /// The channel to the predecessor is ready: it says nothing more but its end.
+    pub(super) fn predecessor_ready(&mut self) {
+        let Some(upgrade) = &mut self.upgrade else { return };
+        if upgrade.predecessor_ready(&self.net) {
+            self.most_clients = self.most_clients_alone;
+            tracing::info!("upgrade: the old process has ended");
+        }
+    }
+
+    /// Goes on from where the predecessor is, within what it leaves of the limits.
+    pub(super) fn take_over(&mut self, now: Time, offer: &Offer) {
+        let limits = self.joint_limits(offer.clients);
+        self.most_clients = self.most_clients.min(limits.successor);
+        tracing::info!("upgrade: {} sockets of the running process are taken over", offer.roles.len());
+        self.restore(now, offer.snapshot.as_deref());
+    }
+
+    /// Takes what the predecessor's module has learned, where it can be read.
+    fn restore(&mut self, now: Time, snapshot: Option<&str>) {
+        let Some(snapshot) = snapshot else { return };
+        let read = serde_json::from_str(snapshot).map_err(|error| error.to_string());
+        let restored = read.and_then(|read| self.core.restore(now, &read).map_err(|error| error.to_string()));
+        match restored {
+            Ok(()) => tracing::info!("upgrade: goes on with what the old process has learned"),
+            Err(error) => tracing::warn!("upgrade: starts with nothing learned: {error}"),
+        }
+    }
+}
+
+/// What a listener is for, by its key.
+pub(super) fn role_of(key: usize) -> SocketRole {
+    if key == OGC_LISTEN { SocketRole::OgcClients } else { SocketRole::Clients }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,10 +11,12 @@
 pub mod log;
 pub mod record;
 pub mod state;
+pub mod upgrade;
 
 pub use badgergauge_control as control;
 pub use badgergauge_core::{core, decide, interface, word};
 pub use badgergauge_discovery as discovery;
+pub use badgergauge_handover as handover;
 pub use badgergauge_net as net;
 
 pub use decide::Router;
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -129,9 +129,9 @@
         (self.phase == Phase::Drained).then(|| self.drain_rests_until.since(now))
     }
 
-    /// A successor takes clients on the same listeners: this process's clients have somewhere to go.
-    pub fn hand_over(&mut self) {
-        self.handed_over = true;
+    /// Whether a successor takes clients on the same listeners: then this process's clients have somewhere to go.
+    pub fn set_handed_over(&mut self, handed_over: bool) {
+        self.handed_over = handed_over;
     }
 
     /// SIGTERM has come. Gives whether it says anything new: a second one does not, and one that comes before clients
--- a/src/lifecycle/tests.rs
+++ b/src/lifecycle/tests.rs
@@ -123,7 +123,7 @@
 fn after_a_hand_over_connections_end_with_their_answers() {
     let mut lifecycle = Lifecycle::default();
     lifecycle.started();
-    lifecycle.hand_over();
+    lifecycle.set_handed_over(true);
     assert!(lifecycle.is_serving() && !lifecycle.is_closing());
     assert!(lifecycle.stop(at(0), &classes(500, 3000)));
     assert_eq!((lifecycle.phase(), lifecycle.listens_until), (Phase::Closing, at(0)));
