--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,9 +2,12 @@
 //! faults between them by seed. `docs/design/harness.md` says why so, `docs/operate/harness.md` how to use it.
 //!
 //! [`scenario`] and [`schedule`] decide what happens when, [`record`] what of it breaks a rule; they do no I/O.
-//! [`proxy`], [`load`] and [`process`] are the sockets and processes, and [`run`] brings all together.
+//! [`proxy`], [`load`] with its [`pool`], [`control`] and [`process`] are the sockets and processes, and [`run`] brings all together.
 
+pub mod control;
 pub mod load;
+pub mod pool;
+pub mod port;
 pub mod process;
 pub mod proxy;
 pub mod record;
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -1,6 +1,7 @@
 //! Open-loop clients in one thread: each query is due at a drawn time and counts from then, however late it could be
 //! sent. They go through a front that knows which brokers are there, come again as they are told to, and check
-//! every value that they get.
+//! every value that they get. Where connections are pooled, one that is idle carries the next request also after the
+//! front has taken its broker out, as clients do that know nothing of the front.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
@@ -16,10 +17,14 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::pool::{Held, Pool};
+
 /// How long after its time an answer is still waited for: what comes later, or never, is lost.
 const PATIENCE: Duration = Duration::from_millis(1500);
 /// Tries of a query: the first, and those after refusals and connections that were not taken.
 const TRIES: u32 = 4;
+/// The clients' thread says so fast what they hold.
+const HELD_WITHIN: Duration = Duration::from_secs(1);
 /// A value, shard and weight apart, that no answer may be longer than.
 const LONGEST: usize = 1024 * 1024;
 
@@ -59,6 +64,8 @@
     pub lasts: Duration,
     /// For everything that is drawn.
     pub seed: u64,
+    /// Whether connections are kept for further requests; else each carries one.
+    pub pooled: bool,
 }
 
 /// Queries by what became of them, by the second in which they were due.
@@ -78,6 +85,8 @@
     pub failed: u32,
     /// Never answered, or after the client's time.
     pub lost: u32,
+    /// Of those that were lost: their connection was reset or closed without an answer.
+    pub closed: u32,
     /// Refusals, each of which may be followed by another try.
     pub refusals: u32,
     /// Connections that were not taken, each followed by another try.
@@ -99,6 +108,17 @@
     pub closed: bool,
 }
 
+/// A request that a broker did not take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// When.
+    pub at: Duration,
+    /// The broker.
+    pub broker: usize,
+    /// The status it answered; none if it did not take the connection.
+    pub status: Option<u16>,
+}
+
 /// What clients saw.
 #[derive(Debug)]
 pub struct Seen {
@@ -108,6 +128,8 @@
     pub times: Histogram<u64>,
     /// Requests that were never answered.
     pub unanswered: Vec<Unanswered>,
+    /// Requests that brokers did not take, also those that were tried again.
+    pub refused: Vec<Refusal>,
     /// Answers that hold what no server made, or are marked whole and are not: when, and what.
     pub wrong: Vec<(Duration, String)>,
     /// How late the harness itself sent at the worst, beyond when a query was due.
@@ -115,10 +137,12 @@
 }
 
 /// What the front is told.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub enum Tell {
     /// A broker is there at this address, or is not there.
     Front(usize, Option<SocketAddr>),
+    /// Somebody asks what clients hold of a broker's connections.
+    Hold(usize, Sender<Held>),
 }
 
 /// The running clients.
@@ -151,6 +175,13 @@
         self.waker.wake();
     }
 
+    /// What clients hold of a broker's connections; none once all are answered, or if they do not say in time.
+    pub fn held(&self, broker: usize) -> Option<Held> {
+        let (sender, receiver) = mpsc::channel();
+        self.tell(Tell::Hold(broker, sender));
+        receiver.recv_timeout(HELD_WITHIN).ok()
+    }
+
     /// Whether all have been answered or given up.
     pub fn are_done(&self) -> bool {
         self.thread.is_finished()
@@ -206,6 +237,8 @@
     status: u16,
     retry_after: Option<Duration>,
     body: Vec<u8>,
+    /// Whether its connection may carry another request.
+    keeps_open: bool,
 }
 
 enum Ended {
@@ -225,6 +258,7 @@
     rng: ChaCha8Rng,
     front: Vec<Option<SocketAddr>>,
     tries: HashMap<usize, Try>,
+    pool: Pool,
     due: BinaryHeap<Reverse<(Duration, usize)>>,
     what: HashMap<usize, Due>,
     last: usize,
@@ -241,6 +275,7 @@
             fates: BTreeMap::new(),
             times,
             unanswered: Vec::new(),
+            refused: Vec::new(),
             wrong: Vec::new(),
             lateness: Duration::ZERO,
         };
@@ -255,6 +290,7 @@
             rng,
             front,
             tries,
+            pool: Pool::default(),
             due,
             what,
             last: 0,
@@ -281,8 +317,8 @@
             if self.poll.wait(pause, &mut ready).is_err() {
                 break;
             }
-            while let Ok(Tell::Front(broker, at)) = self.told.try_recv() {
-                self.front[broker] = at;
+            while let Ok(tell) = self.told.try_recv() {
+                self.hear(tell);
             }
             for report in std::mem::take(&mut ready) {
                 self.ready(report.key);
@@ -301,6 +337,16 @@
         self.seen
     }
 
+    fn hear(&mut self, tell: Tell) {
+        match tell {
+            Tell::Front(broker, at) => self.front[broker] = at,
+            Tell::Hold(broker, sender) => {
+                // Whoever asked may have given up waiting.
+                let _ = sender.send(self.pool.held(&self.poll, broker));
+            }
+        }
+    }
+
     fn fates(&mut self, wish: &Wish) -> &mut Fates {
         self.seen.fates.entry(wish.due.as_secs()).or_default()
     }
@@ -342,26 +388,45 @@
         self.attempt(wish);
     }
 
-    /// The broker that the front gives a client.
-    fn choose(&mut self, wish: &Wish) -> Option<(usize, SocketAddr)> {
-        let there: Vec<(usize, SocketAddr)> =
-            self.front.iter().enumerate().filter_map(|(b, at)| Some((b, (*at)?))).collect();
-        let fresh: Vec<_> = there.iter().copied().filter(|(b, _)| !wish.not.contains(b)).collect();
+    /// The broker that a client goes to: one that the front gives it, or that it has a connection to.
+    fn choose(&mut self, wish: &Wish) -> Option<usize> {
+        let there: Vec<usize> =
+            (0..self.front.len()).filter(|b| self.front[*b].is_some() || self.pool.has(*b)).collect();
+        let fresh: Vec<_> = there.iter().copied().filter(|b| !wish.not.contains(b)).collect();
         let from = if fresh.is_empty() { there } else { fresh };
-        let weights: f64 = from.iter().map(|(b, _)| self.load.weights[*b]).sum();
+        let weights: f64 = from.iter().map(|b| self.load.weights[*b]).sum();
         let mut luck = self.rng.random::<f64>() * weights;
-        let chosen = from.iter().find(|(b, _)| {
-            luck -= self.load.weights[*b];
+        let chosen = from.iter().find(|b| {
+            luck -= self.load.weights[**b];
             luck < 0.0
         });
         chosen.or(from.last()).copied()
     }
 
+    /// A connection for a request, registered under the key: an idle one, or a new one.
+    fn connection(&mut self, broker: usize, key: usize) -> io::Result<TcpStream> {
+        if let Some(stream) = self.pool.take(&self.poll, broker) {
+            return match self.poll.ask(&stream, key, true, true) {
+                Ok(()) => Ok(stream),
+                Err(error) => {
+                    self.poll.remove(&stream);
+                    Err(error)
+                }
+            };
+        }
+        let at = self.front[broker].ok_or(io::ErrorKind::NotConnected)?;
+        let stream = connect(at)?;
+        self.poll.add(&stream, key, true, true)?;
+        Ok(stream)
+    }
+
     fn attempt(&mut self, mut wish: Wish) {
         let now = self.base.elapsed();
         wish.tries += 1;
         let left = wish.ends.saturating_sub(now);
-        let Some((broker, at)) = self.choose(&wish) else { return self.not_taken(wish, None) };
+        // Ends that have come are seen before a broker is chosen for its connections.
+        self.pool.drop_ended(&self.poll);
+        let Some(broker) = self.choose(&wish) else { return self.not_taken(wish, None) };
         let id = format!("b{broker}-{}-{}-{}", self.asked, wish.tries, self.last);
         let class = &self.load.classes[wish.class];
         let share = 1.0 / wish.shards.len() as f64;
@@ -370,23 +435,21 @@
         let body = format!("{{\"tablets\":[{}],\"statement\":\"{}\"}}", tablets.join(","), wish.statement);
         let key = if class.keyed { format!("Idempotency-Key: {}\r\n", wish.key) } else { String::new() };
         let retried = if wish.tries > 1 { "X-Retried: 1\r\n" } else { "" };
+        let last = if self.load.pooled { "" } else { "Connection: close\r\n" };
         let out = format!(
             "POST /{} HTTP/1.1\r\nHost: b{broker}\r\nX-Request-ID: {id}\r\nX-Timeout: {}u\r\n{key}{retried}\
-             Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+             {last}Content-Length: {}\r\n\r\n{body}",
             class.name,
             left.as_micros().max(1),
             body.len()
         );
-        let stream = match connect(at) {
-            Ok(stream) => stream,
-            Err(_) => return self.not_taken(wish, Some(broker)),
-        };
         let expire = (wish.ends + PATIENCE).max(now);
         let key = self.arm(expire, Due::Expire);
-        if self.poll.add(&stream, key, true, true).is_err() {
+        let Ok(stream) = self.connection(broker, key) else {
             self.what.remove(&key);
             return self.not_taken(wish, Some(broker));
-        }
+        };
+        self.pool.note_request(broker, now);
         let (out, bytes) = (out.into_bytes(), Vec::new());
         self.tries.insert(key, Try { wish, id, broker, stream, out, written: 0, bytes, sent: now });
     }
@@ -395,6 +458,8 @@
     fn not_taken(&mut self, mut wish: Wish, broker: Option<usize>) {
         self.fates(&wish).not_taken += 1;
         let now = self.base.elapsed();
+        let refusal = broker.map(|broker| Refusal { at: now, broker, status: None });
+        self.seen.refused.extend(refusal);
         let again = if broker.is_some() { now } else { now + Duration::from_millis(100) };
         wish.not.extend(broker);
         // Where no broker is there at all, clients come until their time is over.
@@ -408,6 +473,9 @@
     }
 
     fn ready(&mut self, key: usize) {
+        if self.pool.ended(&self.poll, key) {
+            return;
+        }
         let Some(attempt) = self.tries.get_mut(&key) else { return };
         match attempt.advance() {
             Ok(None) => {
@@ -425,16 +493,24 @@
 
     fn end(&mut self, key: usize, how: Ended) {
         let Some(attempt) = self.tries.remove(&key) else { return };
-        self.poll.remove(&attempt.stream);
         self.what.remove(&key);
         let now = self.base.elapsed();
-        let Try { wish, id, broker, sent, .. } = attempt;
+        let Try { wish, id, broker, stream, sent, .. } = attempt;
+        match &how {
+            Ended::Answered(response) if self.load.pooled && response.keeps_open => {
+                self.last += 1;
+                self.pool.keep(&self.poll, self.last, broker, stream);
+            }
+            _ => self.poll.remove(&stream),
+        }
         let class = self.load.classes[wish.class].clone();
         match how {
             Ended::NotTaken => return self.not_taken(wish, Some(broker)),
             Ended::Lost { closed } => {
                 self.seen.unanswered.push(Unanswered { id, broker, sent, ended: now, closed });
-                self.fates(&wish).lost += 1;
+                let fates = self.fates(&wish);
+                fates.lost += 1;
+                fates.closed += u32::from(closed);
             }
             Ended::Answered(Response { status: 200, body, .. }) => match judge(&wish, &body, class.least) {
                 Ok(whole) => {
@@ -453,7 +529,8 @@
                     self.fates(&wish).failed += 1;
                 }
             },
-            Ended::Answered(Response { status: 429 | 503, retry_after, .. }) => {
+            Ended::Answered(Response { status: status @ (429 | 503), retry_after, .. }) => {
+                self.seen.refused.push(Refusal { at: now, broker, status: Some(status) });
                 self.fates(&wish).refusals += 1;
                 let again = now + retry_after.unwrap_or(Duration::from_millis(200));
                 if again < wish.ends && wish.tries < TRIES {
@@ -536,17 +613,22 @@
         httparse::Status::Complete(head) => head,
         httparse::Status::Partial => return Ok(None),
     };
-    let header = |name: &str| {
+    let text = |name: &str| {
         let header = response.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name))?;
-        std::str::from_utf8(header.value).ok()?.trim().parse::<f64>().ok()
+        std::str::from_utf8(header.value).ok().map(str::trim)
     };
-    let length = header("Content-Length").ok_or_else(|| bad("no length"))? as usize;
+    let number = |name: &str| text(name)?.parse::<f64>().ok();
+    let length = number("Content-Length").ok_or_else(|| bad("no length"))? as usize;
     if length > LONGEST {
         return Err(bad("too long"));
     }
-    let retry_after = header("Retry-After").map(|seconds| Duration::from_secs_f64(seconds.clamp(0.0, 60.0)));
+    let retry_after = number("Retry-After").map(|seconds| Duration::from_secs_f64(seconds.clamp(0.0, 60.0)));
     let status = response.code.ok_or_else(|| bad("no status"))?;
-    Ok(bytes.get(head..head + length).map(|body| Response { status, retry_after, body: body.to_vec() }))
+    let closes = text("Connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+    // More than was asked for can't belong to the next answer.
+    let keeps_open = !closes && bytes.len() == head + length;
+    let body = bytes.get(head..head + length);
+    Ok(body.map(|body| Response { status, retry_after, body: body.to_vec(), keeps_open }))
 }
 
 #[cfg(test)]
@@ -594,7 +676,10 @@
         }
         let whole = response(text).expect("sound").expect("whole");
         let retry_after = Some(Duration::from_millis(250));
-        assert_eq!(whole, Response { status: 503, retry_after, body: b"busy".to_vec() });
+        let busy = Response { status: 503, retry_after, body: b"busy".to_vec(), keeps_open: true };
+        assert_eq!(whole, busy);
+        let closing = b"HTTP/1.1 200 OK\r\nConnection: Close\r\nContent-Length: 0\r\n\r\n";
+        assert!(!response(closing).expect("sound").expect("whole").keeps_open);
         assert!(response(b"nonsense\r\n\r\n").is_err());
     }
 }
--- /dev/null
+++ b/crates/fleet/src/pool.rs
@@ -0,0 +1,127 @@
+//! The connections that clients keep open after an answer, for their next request to the same broker.
+
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use badgergauge_poll::Poll;
+
+/// What clients hold of a broker's connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Held {
+    /// Connections without a request.
+    pub idle: usize,
+    /// When a request last went out to it.
+    pub last_request: Option<Duration>,
+}
+
+struct Idle {
+    broker: usize,
+    stream: TcpStream,
+}
+
+/// Idle connections, by the key under which the poller knows them; keys grow with time.
+#[derive(Default)]
+pub struct Pool {
+    idle: BTreeMap<usize, Idle>,
+    last_request: BTreeMap<usize, Duration>,
+}
+
+impl Pool {
+    /// Keeps a connection, which is registered with the poller; one that can't be watched is closed.
+    pub fn keep(&mut self, poll: &Poll, key: usize, broker: usize, stream: TcpStream) {
+        if poll.ask(&stream, key, true, false).is_ok() {
+            self.idle.insert(key, Idle { broker, stream });
+        } else {
+            poll.remove(&stream);
+        }
+    }
+
+    /// Takes the connection to a broker that has been idle longest, so that each carries requests again. Those that
+    /// the broker has ended meanwhile are dropped.
+    pub fn take(&mut self, poll: &Poll, broker: usize) -> Option<TcpStream> {
+        self.drop_ended(poll);
+        let key = *self.idle.iter().find(|(_, idle)| idle.broker == broker)?.0;
+        self.idle.remove(&key).map(|idle| idle.stream)
+    }
+
+    /// The poller has reported a key: drops its connection if it is an idle one, since nothing but its end can come.
+    /// Gives whether it was one.
+    pub fn ended(&mut self, poll: &Poll, key: usize) -> bool {
+        let idle = self.idle.remove(&key);
+        if let Some(idle) = &idle {
+            poll.remove(&idle.stream);
+        }
+        idle.is_some()
+    }
+
+    /// Whether there is an idle connection to a broker.
+    pub fn has(&self, broker: usize) -> bool {
+        self.idle.values().any(|idle| idle.broker == broker)
+    }
+
+    /// A request goes out to a broker.
+    pub fn note_request(&mut self, broker: usize, now: Duration) {
+        self.last_request.insert(broker, now);
+    }
+
+    /// What clients hold of a broker's connections, ended ones left out.
+    pub fn held(&mut self, poll: &Poll, broker: usize) -> Held {
+        self.drop_ended(poll);
+        let idle = self.idle.values().filter(|idle| idle.broker == broker).count();
+        Held { idle, last_request: self.last_request.get(&broker).copied() }
+    }
+
+    /// Closes the connections that their brokers have ended.
+    pub fn drop_ended(&mut self, poll: &Poll) {
+        self.idle.retain(|_, idle| {
+            let ended = is_ended(&idle.stream);
+            if ended {
+                poll.remove(&idle.stream);
+            }
+            !ended
+        });
+    }
+}
+
+/// Whether an idle connection has ended, or brought bytes that nobody asked for.
+fn is_ended(stream: &TcpStream) -> bool {
+    !matches!(stream.peek(&mut [0]).map_err(|error: io::Error| error.kind()), Err(ErrorKind::WouldBlock))
+}
+
+#[cfg(test)]
+mod tests {
+    use std::net::TcpListener;
+    use std::time::Instant;
+
+    use super::*;
+
+    #[test]
+    fn idle_connections_are_reused_oldest_first_and_ended_ones_are_not() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let at = listener.local_addr().expect("bound");
+        let (poll, mut pool) = (Poll::new().expect("a poller"), Pool::default());
+        let mut others = Vec::new();
+        for key in 1..=3 {
+            let stream = badgergauge_poll::connect(at).expect("begins");
+            others.push(listener.accept().expect("comes").0);
+            poll.add(&stream, key, true, false).expect("registered");
+            pool.keep(&poll, key, 7, stream);
+        }
+        assert!(pool.has(7) && !pool.has(6));
+        drop(others.remove(0));
+        let start = Instant::now();
+        while pool.held(&poll, 7).idle == 3 {
+            assert!(start.elapsed() < Duration::from_secs(20), "the end never comes");
+            std::thread::yield_now();
+        }
+        let taken = pool.take(&poll, 7).expect("two are left");
+        assert_eq!(taken.local_addr().expect("up"), others[0].peer_addr().expect("up"));
+        poll.remove(&taken);
+        pool.note_request(7, Duration::from_secs(2));
+        let held = Held { idle: 1, last_request: Some(Duration::from_secs(2)) };
+        assert_eq!(pool.held(&poll, 7), held);
+        assert!(pool.ended(&poll, 3) && !pool.ended(&poll, 3) && !pool.has(7));
+    }
+}
--- a/crates/fleet/src/proxy.rs
+++ b/crates/fleet/src/proxy.rs
@@ -14,6 +14,8 @@
 use rand_chacha::ChaCha8Rng;
 use socket2::{Domain, SockRef, Socket, Type};
 
+use crate::port::HeldPort;
+
 /// What a direction of a connection holds before no more is read from its sender.
 const HELD: usize = 64 * 1024;
 /// Connections that may wait to be accepted.
@@ -84,9 +86,8 @@
 
 enum Route {
     Tcp {
-        holder: Socket,
+        port: HeldPort,
         listener: Option<TcpListener>,
-        at: SocketAddr,
         to: SocketAddr,
     },
     /// Datagrams that come here go on from the socket of the link back, to where its receiver hears.
@@ -120,12 +121,10 @@
     ///
     /// When loopback has no port left.
     pub fn tcp(&mut self, to: SocketAddr) -> io::Result<(Link, SocketAddr)> {
-        let holder = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-        holder.set_reuse_port(true)?;
-        holder.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
-        let at = holder.local_addr()?.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
+        let port = HeldPort::new()?;
+        let at = port.address();
         let listener = Some(listen(at)?);
-        self.routes.push(Route::Tcp { holder, listener, at, to });
+        self.routes.push(Route::Tcp { port, listener, to });
         Ok((Link(self.routes.len() - 1), at))
     }
 
@@ -296,10 +295,10 @@
     fn set(&mut self, link: usize, rule: Rule) {
         let was_cut = self.rules[link].is_cut();
         self.rules[link] = rule;
-        if let Route::Tcp { listener: Some(listener), at, .. } = &self.routes[link] {
+        if let Route::Tcp { listener: Some(listener), port, .. } = &self.routes[link] {
             if rule.is_cut() && !was_cut {
                 let _ = SockRef::from(listener).listen(0);
-                let fills = (0..FILLS).filter_map(|_| connect(*at).ok());
+                let fills = (0..FILLS).filter_map(|_| connect(port.address()).ok());
                 self.fills[link] = fills.collect();
             } else if was_cut && !rule.is_cut() {
                 let _ = SockRef::from(listener).listen(BACKLOG);
@@ -329,10 +328,9 @@
     }
 
     fn up(&mut self, link: usize) {
-        if let Route::Tcp { listener, at, holder, .. } = &mut self.routes[link]
+        if let Route::Tcp { listener, port, .. } = &mut self.routes[link]
             && listener.is_none()
-            && holder.local_addr().is_ok()
-            && let Ok(new) = listen(*at)
+            && let Ok(new) = listen(port.address())
             && self.poll.add(&new, link, true, false).is_ok()
         {
             *listener = Some(new);
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -7,8 +7,8 @@
 use badgergauge_standin::ledger::{Breach, Ledger, Rule};
 use serde::{Deserialize, Serialize};
 
-use crate::load::{Fates, Seen};
-use crate::schedule::Schedule;
+use crate::load::{Fates, Refusal, Seen};
+use crate::schedule::{Act, Schedule};
 
 /// Shares that differ by no more than this from the steady one are full service.
 pub const FULL: f64 = 0.95;
@@ -39,6 +39,9 @@
     pub failed: u32,
     /// Lost.
     pub lost: u32,
+    /// Lost as their connection was reset or closed without an answer.
+    #[serde(default)]
+    pub closed: u32,
     /// Refusals, those that were tried again included.
     pub refusals: u32,
     /// Connections that no broker took.
@@ -106,6 +109,40 @@
     pub warnings: u32,
 }
 
+/// An upgrade of a broker, in seconds since the clients' start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Upgraded {
+    /// The broker.
+    pub broker: usize,
+    /// When the new process was started.
+    pub at: f64,
+    /// Which of the broker's starts the old process was: the current one until the new one was ready.
+    pub old_run: u32,
+    /// Which of the broker's starts the new process was.
+    pub run: u32,
+    /// How long it took to be ready; none if it never was.
+    pub ready_s: Option<f64>,
+    /// When the old process had ended.
+    pub old_ended: Option<f64>,
+    /// The old process had to be killed.
+    pub killed: bool,
+}
+
+/// A drain of a broker, in seconds since the clients' start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Drained {
+    /// The broker.
+    pub broker: usize,
+    /// When it was told to drain.
+    pub at: f64,
+    /// Connections that clients held idle when it should have been rid of them.
+    pub idle: usize,
+    /// How long before then a request was last sent to it; none if none was.
+    pub unused_s: Option<f64>,
+    /// How long it took to be up again once it was told to; none if it was not.
+    pub back_s: Option<f64>,
+}
+
 /// A whole run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
@@ -136,10 +173,52 @@
     pub repeated: u32,
     /// By broker.
     pub used: Vec<Used>,
+    /// Upgrades, by time.
+    #[serde(default)]
+    pub upgrades: Vec<Upgraded>,
+    /// Drains, by time.
+    #[serde(default)]
+    pub drains: Vec<Drained>,
     /// Rules that were broken.
     pub broken: Vec<Broken>,
 }
 
+/// An upgrade as the runner saw it; times are since the base.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Upgrade {
+    /// The broker.
+    pub broker: usize,
+    /// When the new process was started.
+    pub began: Duration,
+    /// Which of the broker's starts the old process was.
+    pub old_run: u32,
+    /// Which of the broker's starts the new process was.
+    pub run: u32,
+    /// When the new process said that it was ready.
+    pub ready: Option<Duration>,
+    /// When the old process had ended.
+    pub old_ended: Option<Duration>,
+    /// The old process had to be killed.
+    pub killed: bool,
+}
+
+/// A drain as the runner saw it; times are since the base.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Drain {
+    /// The broker.
+    pub broker: usize,
+    /// When it was told to drain.
+    pub began: Duration,
+    /// Connections that clients held idle when it should have been rid of them.
+    pub idle: usize,
+    /// How long before then a request was last sent to it.
+    pub unused: Option<Duration>,
+    /// When it was told to take clients again.
+    pub stopped: Option<Duration>,
+    /// When it said that it was up.
+    pub back: Option<Duration>,
+}
+
 /// What the runner itself has gathered.
 #[derive(Debug, Default)]
 pub struct Gathered {
@@ -149,6 +228,62 @@
     pub uses: BTreeMap<u64, (f64, f64)>,
     /// Brokers that ended by themselves or did not start: when and what.
     pub crashed: Vec<(Duration, String)>,
+    /// Rules that the runner saw broken.
+    pub broken: Vec<Breach>,
+    /// Upgrades.
+    pub upgrades: Vec<Upgrade>,
+    /// Drains.
+    pub drains: Vec<Drain>,
+}
+
+/// The upgrades in seconds since the clients' start, which was at `offset`.
+pub fn upgrades(gathered: &Gathered, offset: Duration) -> Vec<Upgraded> {
+    let since_start = |at: Duration| at.as_secs_f64() - offset.as_secs_f64();
+    let upgraded = |upgrade: &Upgrade| Upgraded {
+        broker: upgrade.broker,
+        at: since_start(upgrade.began),
+        old_run: upgrade.old_run,
+        run: upgrade.run,
+        ready_s: upgrade.ready.map(|ready| (ready - upgrade.began).as_secs_f64()),
+        old_ended: upgrade.old_ended.map(since_start),
+        killed: upgrade.killed,
+    };
+    gathered.upgrades.iter().map(upgraded).collect()
+}
+
+/// The drains in seconds since the clients' start, which was at `offset`.
+pub fn drains(gathered: &Gathered, offset: Duration) -> Vec<Drained> {
+    let drained = |drain: &Drain| Drained {
+        broker: drain.broker,
+        at: drain.began.as_secs_f64() - offset.as_secs_f64(),
+        idle: drain.idle,
+        unused_s: drain.unused.map(|unused| unused.as_secs_f64()),
+        back_s: drain.back.zip(drain.stopped).map(|(back, stopped)| (back - stopped).as_secs_f64()),
+    };
+    gathered.drains.iter().map(drained).collect()
+}
+
+/// Requests that brokers refused from their first upgrade or drain on. Those that the schedule also kills or
+/// restarts may refuse some.
+fn refusals(seen: &Seen, schedule: &Schedule, offset: Duration) -> Vec<Breach> {
+    let seamless_from = |broker: usize| {
+        let ends = |act: &Act| matches!(act, Act::Kill(b) | Act::Restart(b) if *b == broker);
+        let seamless = |act: &Act| matches!(act, Act::Upgrade(b) | Act::StartDrain(b) if *b == broker);
+        let ended = schedule.acts.iter().any(|(_, act)| ends(act));
+        let first = schedule.acts.iter().find(|(_, act)| seamless(act));
+        first.filter(|_| !ended).map(|(at, _)| *at + offset)
+    };
+    let breach = |refusal: &Refusal| {
+        let how = match refusal.status {
+            Some(status) => format!("answered {status}"),
+            None => "did not take a connection or request".to_owned(),
+        };
+        Breach { at: refusal.at, rule: Rule::Refused, what: format!("b{} {how}", refusal.broker) }
+    };
+    let refused = seen.refused.iter();
+    let refused =
+        refused.filter(|refusal| seamless_from(refusal.broker).is_some_and(|from| refusal.at >= from));
+    refused.map(breach).collect()
 }
 
 /// What stays of the rules that the stand-ins and clients saw broken, with those that the schedule explains left
@@ -168,7 +303,7 @@
     let kills: Vec<Duration> = schedule
         .acts
         .iter()
-        .filter(|(_, act)| matches!(act, crate::schedule::Act::Kill(_)))
+        .filter(|(_, act)| matches!(act, Act::Kill(_)))
         .map(|(at, _)| *at + offset)
         .collect();
     let mut found = Vec::new();
@@ -198,9 +333,12 @@
         if lost.closed { closed.push(breach) } else { found.push(breach) }
     }
     let offered: u32 = seen.fates.values().map(|fates| fates.offered).sum();
-    if closed.len() * CLOSED_SHARE > offered as usize {
+    // An upgrade or a drain has no price.
+    if schedule.is_seamless() || closed.len() * CLOSED_SHARE > offered as usize {
         found.append(&mut closed);
     }
+    found.extend(refusals(seen, schedule, offset));
+    found.extend(gathered.broken.iter().cloned());
     let wrong = seen.wrong.iter();
     found.extend(wrong.map(|(at, what)| Breach { at: *at, rule: Rule::WrongAnswer, what: what.clone() }));
     let crashed = gathered.crashed.iter();
@@ -213,7 +351,8 @@
 pub fn rows(ledger: &Ledger, seen: &Seen, gathered: &Gathered, offset: u64) -> Vec<Row> {
     let mut rows: BTreeMap<u64, Row> = BTreeMap::new();
     for (second, fates) in &seen.fates {
-        let Fates { offered, in_time, late, partial, refused, failed, lost, refusals, not_taken } = *fates;
+        let Fates { offered, in_time, late, partial, refused, failed, lost, closed, refusals, not_taken } =
+            *fates;
         let row = Row {
             offered,
             in_time,
@@ -222,6 +361,7 @@
             refused,
             failed,
             lost,
+            closed,
             refusals,
             not_taken,
             ..Row::default()
@@ -282,14 +422,14 @@
 mod tests {
     use super::*;
     use crate::load::Unanswered;
-    use crate::schedule::Act;
 
     const S: Duration = Duration::from_secs(1);
 
     fn seen(unanswered: Vec<Unanswered>) -> Seen {
         let times = hdrhistogram::Histogram::new(3).expect("sound");
         let fates = BTreeMap::from([(0, Fates { offered: 300, ..Fates::default() })]);
-        Seen { fates, times, unanswered, wrong: Vec::new(), lateness: Duration::ZERO }
+        let (refused, wrong) = (Vec::new(), Vec::new());
+        Seen { fates, times, unanswered, refused, wrong, lateness: Duration::ZERO }
     }
 
     fn lost(broker: usize, sent: Duration, ended: Duration, closed: bool) -> Unanswered {
@@ -330,6 +470,62 @@
         assert_eq!(found(&ledger, &seen(Vec::new())), [Rule::SecondCopy]);
     }
 
+    // In an upgrade or a drain no request may be closed or refused; before it, and where brokers are killed too,
+    // some may.
+    #[test]
+    fn an_upgrade_and_a_drain_have_no_price() {
+        let refusal = |broker, at, status| Refusal { at, broker, status };
+        let mut seen = seen(vec![lost(0, S * 3, S * 3, true)]);
+        seen.refused = vec![
+            refusal(0, S * 5, None),
+            refusal(0, S * 6, None),
+            refusal(1, S * 9, Some(503)),
+            refusal(2, S * 9, None),
+            refusal(3, S * 9, None),
+        ];
+        let acts = vec![
+            (S * 5, Act::Upgrade(0)),
+            (S * 5, Act::StartDrain(1)),
+            (S * 5, Act::Upgrade(3)),
+            (S * 6, Act::Kill(3)),
+        ];
+        let schedule = Schedule { acts, later: Vec::new() };
+        let mut gathered = Gathered::default();
+        gathered.broken.push(Breach { at: S * 12, rule: Rule::NotReady, what: String::new() });
+        let all = breaches(&Ledger::default(), &seen, &gathered, &schedule, S, &[]);
+        let all: Vec<(Rule, Duration)> = all.into_iter().map(|breach| (breach.rule, breach.at)).collect();
+        let expected = [
+            (Rule::NoAnswer, S * 3),
+            (Rule::Refused, S * 6),
+            (Rule::Refused, S * 9),
+            (Rule::NotReady, S * 12),
+        ];
+        assert_eq!(all, expected);
+    }
+
+    #[test]
+    fn upgrades_and_drains_are_recorded_from_the_clients_start() {
+        let mut gathered = Gathered::default();
+        let ready = Some(S * 6);
+        gathered.upgrades.push(Upgrade {
+            broker: 2,
+            began: S * 5,
+            old_run: 1,
+            run: 2,
+            ready,
+            ..Upgrade::default()
+        });
+        let (stopped, back) = (Some(S * 9), Some(S * 10));
+        gathered.drains.push(Drain { broker: 1, began: S * 4, stopped, back, ..Drain::default() });
+        let upgraded =
+            Upgraded { broker: 2, at: 4.0, old_run: 1, run: 2, ready_s: Some(1.0), ..Upgraded::default() };
+        assert_eq!(upgrades(&gathered, S), [upgraded]);
+        assert_eq!(
+            drains(&gathered, S),
+            [Drained { broker: 1, at: 3.0, back_s: Some(1.0), ..Drained::default() }]
+        );
+    }
+
     #[test]
     fn service_is_full_again_once_it_stays_so() {
         let rows = |shares: &[u32]| -> Vec<Row> {
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -55,6 +55,8 @@
             record.steady
         );
     }
+    text += &upgrades(record);
+    text += &drains(record);
     let _ = writeln!(
         text,
         "\n{:>4} {:>7} {:>7} {:>5} {:>7} {:>7} {:>6} {:>5} {:>6} {:>6} {:>6} {:>6} {:>7} {:>7} {:>6} {:>6} {:>6} {:>5}",
@@ -110,6 +112,54 @@
     text
 }
 
+/// What upgrades took and cost, as a line; empty where there were none.
+fn upgrades(record: &Record) -> String {
+    if record.upgrades.is_empty() {
+        return String::new();
+    }
+    let mut ready: Vec<f64> = record.upgrades.iter().filter_map(|upgrade| upgrade.ready_s).collect();
+    ready.sort_by(f64::total_cmp);
+    let (median, worst) = (ready.get(ready.len() / 2), ready.last());
+    let seconds = |figure: Option<&f64>| figure.map_or("-".to_owned(), |figure| format!("{figure:.3} s"));
+    format!(
+        "upgrades {}: ready {}, median {}, worst {}; old processes killed {}; {}\n",
+        record.upgrades.len(),
+        ready.len(),
+        seconds(median),
+        seconds(worst),
+        record.upgrades.iter().filter(|upgrade| upgrade.killed).count(),
+        costs(record)
+    )
+}
+
+/// What drains left and took, as a line; empty where there were none.
+fn drains(record: &Record) -> String {
+    if record.drains.is_empty() {
+        return String::new();
+    }
+    let back = record.drains.iter().filter_map(|drain| drain.back_s);
+    format!(
+        "drains {}: idle connections left {}; up again {}, worst {:.3} s; {}\n",
+        record.drains.len(),
+        record.drains.iter().map(|drain| drain.idle).sum::<usize>(),
+        back.clone().count(),
+        back.fold(0.0, f64::max),
+        costs(record)
+    )
+}
+
+/// What clients lost in a run.
+fn costs(record: &Record) -> String {
+    let lost: u32 = record.rows.iter().map(|row| row.lost).sum();
+    let closed: u32 = record.rows.iter().map(|row| row.closed).sum();
+    let broken = |rule: &str| record.broken.iter().filter(|broken| broken.rule == rule).count();
+    format!(
+        "requests lost {lost}, of them on connections that were reset or closed {closed}; refused {}; effects doubled {}",
+        broken("Refused"),
+        broken("Doubled")
+    )
+}
+
 /// A line of a panel: its colour, and its figure in each second.
 type Line = (RGBColor, fn(&Row) -> f64);
 
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -1,15 +1,18 @@
 //! Runs a scenario: stand-ins, fault proxy, brokers, clients, and the schedule of faults between them.
 
+mod drain;
+mod settings;
+mod upgrade;
+
 use std::collections::BTreeMap;
 use std::fs;
 use std::io;
-use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::net::{SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::time::{Duration, Instant};
 
-use badgergauge_standin::ledger;
 use badgergauge_standin::model::Figures;
 use badgergauge_standin::world::{Placed, Setting, Tell as WorldTell, World};
 use rand::{Rng, SeedableRng};
@@ -17,15 +20,20 @@
 use rustix::process::Signal;
 use serde_json::{Value, json};
 
-use crate::load::{Class, Clients, Load, Tell as FrontTell};
+use crate::control;
+use crate::load::{Clients, Load, Tell as FrontTell};
+use crate::port::HeldPort;
 use crate::process::{Note, Process, Said};
 use crate::proxy::{Builder, Link, Proxy, Rule, Tell as ProxyTell};
 use crate::record::{self, Broken, Gathered, Record, Used};
 use crate::scenario::{Fault, Scenario};
 use crate::schedule::{Act, Links, Schedule, zone_of};
+use settings::{WINDOW, blocks, classes, settings};
 
 /// A broker that has not come up in this time has not started.
 const STARTS_IN: Duration = Duration::from_secs(20);
+/// A process that is to take over in an upgrade takes clients by then.
+const READY_WITHIN: Duration = Duration::from_secs(6);
 /// A broker that has not ended so long after SIGTERM hangs.
 const STOPS_IN: Duration = Duration::from_secs(10);
 /// The front notices a broker's death so late.
@@ -34,10 +42,10 @@
 const LAST_CLIENTS: Duration = Duration::from_millis(300);
 /// A broker that fails to start, as another process took its port, is started again so often.
 const STARTS: u32 = 3;
+/// A broker that is not up or ready yet is asked again after this.
+const ASK_AGAIN: Duration = Duration::from_millis(10);
 /// Brokers that there have to be more of before they speak to each other: fewer need no links for it.
 const FEW: usize = 8;
-/// The window of keyed queries.
-const WINDOW: Duration = Duration::from_secs(5);
 /// Seconds of full service in a row that end the time to it, at the most.
 pub const HOLD: usize = 10;
 
@@ -65,6 +73,11 @@
     pub starts_in: Duration,
     /// Rolls kill brokers in place of telling them to end: to see what that costs.
     pub rolls_kill: bool,
+    /// The process that is to take over in an upgrade takes clients by then.
+    pub ready_within: Duration,
+    /// Upgrades kill the running process and start the one that is to take over so much later: to see what that
+    /// costs.
+    pub upgrade_gap: Option<Duration>,
 }
 
 impl Options {
@@ -82,56 +95,12 @@
             drains_hold: false,
             starts_in: STARTS_IN,
             rolls_kill: false,
+            ready_within: READY_WITHIN,
+            upgrade_gap: None,
         }
     }
 }
 
-/// The classes that clients ask.
-fn classes() -> Vec<Class> {
-    let class = |name: &str, keyed: bool, least: f64, share: f64| Class {
-        name: name.to_owned(),
-        aim: Duration::from_millis(500),
-        deadline: Duration::from_secs(2),
-        keyed,
-        least,
-        share,
-    };
-    vec![
-        class("parcel-search", false, 1.0, 0.7),
-        class("title-flag", true, 1.0, 0.15),
-        class("area-report", false, 0.8, 0.15),
-    ]
-}
-
-/// The settings, as the platform gives them.
-fn settings(scenario: &Scenario, me: usize) -> Value {
-    let profiles: Vec<Value> = classes()
-        .iter()
-        .zip([1.0, 2.0, 5.0])
-        .map(|(class, credit)| {
-            json!({"name": class.name, "effect": if class.keyed { "keyed" } else { "safe" }, "credit": credit,
-                "lateShare": 0.3, "aimNs": class.aim.as_nanos() as u64,
-                "deadlineNs": class.deadline.as_nanos() as u64, "windowNs": WINDOW.as_nanos() as u64})
-        })
-        .collect();
-    let zones: Vec<String> = (0..scenario.zones).map(|zone| format!("z{zone}")).collect();
-    json!({"balancers": scenario.brokers, "me": me, "granularityNs": 5_000_000,
-        "locality": zone_of(me, scenario.zones), "zones": zones, "clients": {"marksRetry": true},
-        "registryMode": if scenario.on_request { "on_request" } else { "pushed" }, "profiles": profiles,
-        "extra": {"batch": 1, "callNs": 0, "followUp": [0, 0, 0], "incompleteWorth": [0.9, 0.9, 0.8],
-            "leastShare": [1.0, 1.0, 0.8], "needByClass": [1.0, 1.0, 1.0], "sets": scenario.cells,
-            "slices": blocks(scenario), "width": scenario.width},
-        "limits": {"cancel": true, "maxAttempts": 4, "maxOpen": 4000, "maxRetryAfterNs": 2_000_000_000_u64,
-            "maxStreams": 100, "mayProbe": false, "retryAfter": true, "secondCopies": false, "peers": true},
-        "prices": {"handshake": 0.001, "peer": 0.01},
-        "safety": {"drainGraceNs": ledger::DRAIN.as_nanos() as u64, "coldFrom": scenario.tile.cold_from, "coldNs": scenario.tile.cold_for.as_nanos() as u64,
-            "fallMultiple": scenario.tile.fall_multiple, "overloadForNs": 1_000_000_000}})
-}
-
-fn blocks(scenario: &Scenario) -> u32 {
-    scenario.cells as u32 * 4
-}
-
 /// All links of the fleet, by what they join.
 #[derive(Default)]
 struct Wires {
@@ -178,7 +147,15 @@
 #[derive(Default)]
 struct Broker {
     process: Option<Process>,
+    /// Which of its starts the process is.
     run: u32,
+    starts: u32,
+    /// Which of its control addresses the process has.
+    control: usize,
+    /// The process that is to take over.
+    next: Option<upgrade::Next>,
+    /// The process that it took over from, until that has ended.
+    old: Option<upgrade::Old>,
     /// Starts in a row that failed.
     failed: u32,
     /// It was told to end, or was killed, and is not to be held for crashed.
@@ -196,6 +173,19 @@
     warnings: u32,
 }
 
+/// The ports of a broker, over all of its processes.
+struct Ports {
+    clients: HeldPort,
+    /// Two, so that the processes of an upgrade each have one.
+    control: [HeldPort; 2],
+}
+
+impl Ports {
+    fn new() -> io::Result<Self> {
+        Ok(Ports { clients: HeldPort::new()?, control: [HeldPort::new()?, HeldPort::new()?] })
+    }
+}
+
 /// What falls due for the runner itself.
 #[derive(Clone, Debug, PartialEq)]
 enum Due {
@@ -208,6 +198,16 @@
     Sample,
     /// Brokers that are starting are asked whether they are up.
     Ask,
+    /// The process that is to take over is started.
+    StartNext(usize),
+    /// The process that is to take over is asked whether it is ready.
+    AskReady(usize),
+    /// The process that was taken over from is killed, if it is still there.
+    KillOld(usize, u32),
+    /// What clients hold of a broker that drains is looked at; by the drain's number.
+    CheckDrain(usize),
+    /// A broker whose drain is over is asked whether it is up; by the drain's number.
+    AskBack(usize),
 }
 
 struct Fleet<'a> {
@@ -220,6 +220,7 @@
     wires: Wires,
     clients: Option<Clients>,
     brokers: Vec<Broker>,
+    ports: Vec<Ports>,
     notes: Sender<Note>,
     heard: Receiver<Note>,
     due: Vec<(Duration, Due)>,
@@ -275,6 +276,7 @@
     proxy.tell(ProxyTell::Down(wires.choose(&Links::Servers(later), scenario)));
     let (notes, heard) = mpsc::channel();
     let brokers = (0..scenario.brokers).map(|_| Broker::default()).collect();
+    let ports = (0..scenario.brokers).map(|_| Ports::new()).collect::<Result<_, _>>()?;
     let mut fleet = Fleet {
         scenario,
         options,
@@ -285,6 +287,7 @@
         wires,
         clients: None,
         brokers,
+        ports,
         notes,
         heard,
         due: Vec::new(),
@@ -367,6 +370,7 @@
             from: self.offset,
             lasts: Duration::from_secs(self.scenario.seconds),
             seed: self.scenario.seed,
+            pooled: self.scenario.pooled,
         };
         let clients = Clients::start(load, self.base)?;
         for (n, broker) in self.brokers.iter().enumerate() {
@@ -374,7 +378,8 @@
         }
         self.clients = Some(clients);
         let ends = schedule.ends() + self.offset;
-        while self.now() < ends || self.clients.as_ref().is_some_and(|clients| !clients.are_done()) {
+        let asked = |fleet: &Self| fleet.clients.as_ref().is_some_and(|clients| !clients.are_done());
+        while self.now() < ends || asked(self) || !self.is_settled() {
             self.turn()?;
         }
         let Some(clients) = self.clients.take() else { return Err(io::Error::other("no clients")) };
@@ -392,7 +397,7 @@
         let at = |at: Duration| at.as_secs_f64() - self.offset.as_secs_f64();
         let broken = broken.into_iter();
         let used = |broker: &Broker| Used {
-            starts: broker.run,
+            starts: broker.starts,
             cpu: broker.cpu[0] + broker.cpu[1],
             memory_mb: broker.memory_mb,
             warnings: broker.warnings,
@@ -410,6 +415,8 @@
             attempts_per_part: f64::from(parts) / (f64::from(asked.max(1)) * self.scenario.parts as f64),
             repeated: ledger.repeated,
             used: self.brokers.iter().map(used).collect(),
+            upgrades: record::upgrades(&self.gathered, self.offset),
+            drains: record::drains(&self.gathered, self.offset),
             broken: broken
                 .map(|b| Broken { at: at(b.at), rule: format!("{:?}", b.rule), what: b.what })
                 .collect(),
@@ -465,9 +472,14 @@
                     self.ask_up(broker);
                 }
                 if self.brokers.iter().any(|broker| broker.started.is_some()) {
-                    self.arm(self.now() + Duration::from_millis(10), Due::Ask);
+                    self.arm(self.now() + ASK_AGAIN, Due::Ask);
                 }
             }
+            Due::StartNext(broker) => self.start_next(broker)?,
+            Due::AskReady(broker) => self.ask_ready(broker),
+            Due::KillOld(broker, run) => self.kill_old(broker, run),
+            Due::CheckDrain(drain) => self.check_drain(drain),
+            Due::AskBack(drain) => self.ask_back(drain),
         }
         Ok(())
     }
@@ -491,6 +503,9 @@
                 self.arm(self.now() + LAST_CLIENTS, Due::Unlist(broker, run));
                 self.arm(self.now() + STOPS_IN, Due::Hangs(broker, run));
             }
+            Act::Upgrade(broker) => self.upgrade(broker)?,
+            Act::StartDrain(broker) => self.start_drain(broker),
+            Act::StopDrain(broker) => self.stop_drain(broker),
             Act::Pause(broker) => self.signal(broker, Signal::STOP),
             Act::Resume(broker) => self.signal(broker, Signal::CONT),
             Act::Cut(broker) => {
@@ -530,6 +545,16 @@
         Ok(())
     }
 
+    /// Whether no upgrade and no drain is under way.
+    fn is_settled(&self) -> bool {
+        let upgrades = self.brokers.iter().any(|broker| broker.next.is_some() || broker.old.is_some());
+        !upgrades && !self.due.iter().any(|(_, due)| matches!(due, Due::StartNext(_) | Due::AskBack(_)))
+    }
+
+    fn control(&self, broker: usize) -> SocketAddr {
+        self.ports[broker].control[self.brokers[broker].control].address()
+    }
+
     fn set_links(&self, links: &Links, rule: Rule) {
         self.proxy.tell(ProxyTell::Set(self.wires.choose(links, self.scenario), rule));
     }
@@ -581,26 +606,46 @@
 
     fn start(&mut self, broker: usize) -> io::Result<()> {
         self.configure(broker)?;
+        let control = 1 - self.brokers[broker].control;
+        let run = self.brokers[broker].starts + 1;
+        let process = self.spawn(broker, run, control)?;
+        let now = self.now();
+        let state = &mut self.brokers[broker];
+        (state.run, state.control) = (run, control);
+        (state.ends, state.again, state.started, state.address) = (false, false, Some(now), None);
+        state.process = Some(process);
+        if !self.due.iter().any(|(_, due)| *due == Due::Ask) {
+            self.arm(now, Due::Ask);
+        }
+        Ok(())
+    }
+
+    /// Starts a process of a broker, with its configuration as it stands and one of its control addresses.
+    fn spawn(&mut self, broker: usize, run: u32, control: usize) -> io::Result<Process> {
+        let ports = &self.ports[broker];
         let mut command = Command::new(&self.options.program);
         command
             .env("BALANCER_CONFIG", self.file(broker, "json"))
-            .env("BALANCER_LISTEN", "127.0.0.1:0")
+            .env("BALANCER_LISTEN", ports.clients.address().to_string())
+            .env("BALANCER_CONTROL", ports.control[control].address().to_string())
+            .env("TMPDIR", self.folder(broker)?)
             .env("BALANCER_LOG_FORMAT", "json")
             .env("BALANCER_SERVICE", self.service(broker)?)
             .env_remove("BALANCER_DISCOVERY")
             .env_remove("BALANCER_NAME")
             .current_dir(&self.options.dir);
         let log = self.file(broker, "log");
-        let now = self.now();
-        let state = &mut self.brokers[broker];
-        state.run += 1;
-        (state.ends, state.again, state.started, state.address) = (false, false, Some(now), None);
-        state.process = Some(Process::start(command, &log, broker, state.run, self.notes.clone())?);
+        let process = Process::start(command, &log, broker, run, self.notes.clone())?;
+        self.brokers[broker].starts = run;
         self.world.tell(WorldTell::BrokerStarts(broker));
-        if !self.due.iter().any(|(_, due)| *due == Due::Ask) {
-            self.arm(now, Due::Ask);
-        }
-        Ok(())
+        Ok(process)
+    }
+
+    /// The folder for what a broker's processes share.
+    fn folder(&self, broker: usize) -> io::Result<PathBuf> {
+        let path = self.file(broker, "tmp");
+        fs::create_dir_all(&path)?;
+        fs::canonicalize(path)
     }
 
     /// A broker's operator's file: the store, where it has one, and nothing else.
@@ -626,7 +671,7 @@
             self.gathered.crashed.push((now, what));
             return;
         }
-        if let Some(at) = state.address.filter(|at| is_up(*at)) {
+        if let Some(at) = state.address.filter(|at| control::is_up(*at)) {
             state.started = None;
             state.failed = 0;
             self.list(broker, Some(at));
@@ -664,7 +709,8 @@
                     self.start(note.broker)?;
                 }
             }
-            _ => {}
+            Said::Ended => self.ended_in_upgrade(note.broker, note.run)?,
+            Said::Listens(_) => {}
         }
         Ok(())
     }
@@ -678,7 +724,8 @@
                 broker.memory_mb = broker.memory_mb.max(resident);
                 memory = memory.max(resident);
             }
-            cpu += broker.cpu[0] + broker.cpu[1];
+            broker.old.iter_mut().for_each(upgrade::Old::sample);
+            cpu += broker.cpu[0] + broker.cpu[1] + broker.old.as_ref().map_or(0.0, |old| old.cpu);
         }
         let second = self.now().as_secs().saturating_sub(1);
         self.gathered.uses.insert(second, ((cpu - self.cpu_before).max(0.0), memory));
@@ -694,17 +741,3 @@
         _ => None,
     }
 }
-
-/// Whether a broker says that it is up. It listens already, so this takes no longer than it does to answer.
-fn is_up(at: SocketAddr) -> bool {
-    use std::io::{Read, Write};
-    let ask = || -> io::Result<bool> {
-        let mut stream = TcpStream::connect_timeout(&at, Duration::from_secs(1))?;
-        stream.set_read_timeout(Some(Duration::from_secs(1)))?;
-        stream.write_all(b"GET /up HTTP/1.1\r\nHost: up\r\nConnection: close\r\n\r\n")?;
-        let mut answer = [0; 16];
-        stream.read_exact(&mut answer[..12])?;
-        Ok(answer.starts_with(b"HTTP/1.1 200"))
-    };
-    ask().unwrap_or(false)
-}
--- /dev/null
+++ b/crates/fleet/src/run/settings.rs
@@ -0,0 +1,60 @@
+//! The settings that the harness's platform gives a broker, and the classes that its clients ask.
+
+use std::time::Duration;
+
+use badgergauge_standin::ledger;
+use serde_json::{Value, json};
+
+use crate::load::Class;
+use crate::scenario::Scenario;
+use crate::schedule::zone_of;
+
+/// The window of keyed queries.
+pub const WINDOW: Duration = Duration::from_secs(5);
+
+/// The classes that clients ask.
+pub fn classes() -> Vec<Class> {
+    let class = |name: &str, keyed: bool, least: f64, share: f64| Class {
+        name: name.to_owned(),
+        aim: Duration::from_millis(500),
+        deadline: Duration::from_secs(2),
+        keyed,
+        least,
+        share,
+    };
+    vec![
+        class("parcel-search", false, 1.0, 0.7),
+        class("title-flag", true, 1.0, 0.15),
+        class("area-report", false, 0.8, 0.15),
+    ]
+}
+
+/// The settings, as the platform gives them.
+pub fn settings(scenario: &Scenario, me: usize) -> Value {
+    let profiles: Vec<Value> = classes()
+        .iter()
+        .zip([1.0, 2.0, 5.0])
+        .map(|(class, credit)| {
+            json!({"name": class.name, "effect": if class.keyed { "keyed" } else { "safe" }, "credit": credit,
+                "lateShare": 0.3, "aimNs": class.aim.as_nanos() as u64,
+                "deadlineNs": class.deadline.as_nanos() as u64, "windowNs": WINDOW.as_nanos() as u64})
+        })
+        .collect();
+    let zones: Vec<String> = (0..scenario.zones).map(|zone| format!("z{zone}")).collect();
+    json!({"balancers": scenario.brokers, "me": me, "granularityNs": 5_000_000,
+        "locality": zone_of(me, scenario.zones), "zones": zones, "clients": {"marksRetry": true},
+        "registryMode": if scenario.on_request { "on_request" } else { "pushed" }, "profiles": profiles,
+        "extra": {"batch": 1, "callNs": 0, "followUp": [0, 0, 0], "incompleteWorth": [0.9, 0.9, 0.8],
+            "leastShare": [1.0, 1.0, 0.8], "needByClass": [1.0, 1.0, 1.0], "sets": scenario.cells,
+            "slices": blocks(scenario), "width": scenario.width},
+        "limits": {"cancel": true, "maxAttempts": 4, "maxOpen": 4000, "maxRetryAfterNs": 2_000_000_000_u64,
+            "maxStreams": 100, "mayProbe": false, "retryAfter": true, "secondCopies": false, "peers": true},
+        "prices": {"handshake": 0.001, "peer": 0.01},
+        "safety": {"drainGraceNs": ledger::DRAIN.as_nanos() as u64, "coldFrom": scenario.tile.cold_from, "coldNs": scenario.tile.cold_for.as_nanos() as u64,
+            "fallMultiple": scenario.tile.fall_multiple, "overloadForNs": 1_000_000_000}})
+}
+
+/// Tile blocks that there are.
+pub fn blocks(scenario: &Scenario) -> u32 {
+    scenario.cells as u32 * 4
+}
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -8,6 +8,9 @@
 use serde::Deserialize;
 use serde_saphyr::Spanned;
 
+/// A broker that drains has so long to be rid of its clients' connections.
+pub const DRAINED_WITHIN: Duration = Duration::from_secs(4);
+
 /// What is wrong with a scenario, and where.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ScenarioFault {
@@ -59,6 +62,8 @@
     pub indented: bool,
     /// Whether brokers have a store that lasts.
     pub store: bool,
+    /// Whether clients keep their connections for further requests.
+    pub pooled: bool,
     /// The timeline, in the file's order.
     pub events: Vec<Event>,
 }
@@ -101,6 +106,11 @@
     Kill { share: f64, back: Duration },
     /// All brokers are restarted by SIGTERM, so many of them at a time, each group so long after the one before.
     Roll { share: f64, every: Duration },
+    /// Brokers are upgraded one after the other, each so long after the one before: a second process takes over from
+    /// the running one.
+    Upgrade { brokers: Brokers, every: Duration },
+    /// Brokers are drained, each so long after the one before, and taken back.
+    Drain { brokers: Brokers, every: Duration, lasts: Duration },
     /// So many of the brokers are stopped for a while (SIGSTOP, SIGCONT).
     Pause { share: f64, lasts: Duration },
     /// So many of the brokers' stores are wiped or cut to half their length, where they have one; brokers that run
@@ -127,6 +137,15 @@
     Network { delay: Duration, jitter: Duration, loss: f64, reset: f64, rate: Option<u64>, lasts: Duration },
 }
 
+/// A choice of brokers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Brokers {
+    /// This one.
+    One(usize),
+    /// So many of all, in drawn order.
+    Share(f64),
+}
+
 /// What a server may be made to do with parts.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "snake_case")]
@@ -164,6 +183,8 @@
     #[serde(default)]
     store: bool,
     #[serde(default)]
+    pooled: bool,
+    #[serde(default)]
     tile: TileFile,
     #[serde(default)]
     events: Vec<EventFile>,
@@ -188,6 +209,8 @@
     at: Spanned<f64>,
     kill: Option<Some2>,
     roll: Option<Some2>,
+    upgrade: Option<OfBrokers>,
+    drain: Option<OfBrokers>,
     pause: Option<Some2>,
     wipe_stores: Option<Share>,
     cut_stores: Option<Share>,
@@ -213,6 +236,16 @@
     within_s: Option<Spanned<f64>>,
 }
 
+/// One broker, or a share of them with the time between two.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OfBrokers {
+    broker: Option<Spanned<u64>>,
+    share: Option<Spanned<f64>>,
+    every_s: Option<Spanned<f64>>,
+    for_s: Option<Spanned<f64>>,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Share {
@@ -301,6 +334,42 @@
         Duration::from_secs_f64(self.figure(key, value, 0.0, 3600.0))
     }
 
+    /// How long a drain lasts: longer than its brokers have to be rid of their clients.
+    fn drain_time(&mut self, key: &str, line: u64, value: Option<&Spanned<f64>>) -> Duration {
+        let lasts = self.needed(key, line, value);
+        if let Some(value) = value
+            && lasts <= DRAINED_WITHIN
+        {
+            let fault = format!("must be over {}", DRAINED_WITHIN.as_secs());
+            self.fault(value.referenced.line(), key, fault);
+        }
+        lasts
+    }
+
+    /// The brokers that an event names, and the time between two. `among` is how many there are.
+    fn brokers(&mut self, key: &str, line: u64, event: &OfBrokers, among: usize) -> (Brokers, Duration) {
+        let of = |name: &str| format!("{key}.{name}");
+        let every = event.every_s.as_ref();
+        match (&event.broker, &event.share) {
+            (Some(broker), None) => {
+                if let Some(every) = every {
+                    let fault = "one broker has no time between two".to_owned();
+                    self.fault(every.referenced.line(), &of("every_s"), fault);
+                }
+                let broker = self.count(&of("broker"), broker, 0, among as u64 - 1);
+                (Brokers::One(broker), Duration::ZERO)
+            }
+            (None, Some(share)) => {
+                let share = self.figure(&of("share"), share, 0.01, 1.0);
+                (Brokers::Share(share), self.needed(&of("every_s"), line, every))
+            }
+            _ => {
+                self.fault(line, key, "must name either `broker` or `share`".to_owned());
+                (Brokers::One(0), Duration::ZERO)
+            }
+        }
+    }
+
     /// A time that has to be there.
     fn needed(&mut self, key: &str, line: u64, value: Option<&Spanned<f64>>) -> Duration {
         match value {
@@ -369,7 +438,7 @@
         let mut events = Vec::new();
         for (n, event) in file.events.iter().enumerate() {
             let at = checks.seconds(&format!("events[{n}].at"), &event.at);
-            let faults = event.faults(&mut checks, &format!("events[{n}]"), zones);
+            let faults = event.faults(&mut checks, &format!("events[{n}]"), brokers, zones);
             if let [fault] = &faults[..] {
                 events.push(Event { at, fault: fault.clone() });
             } else {
@@ -378,7 +447,7 @@
             }
         }
         let (seed, on_request, store) = (file.seed.unwrap_or(1), file.on_request, file.store);
-        let indented = file.indented;
+        let (indented, pooled) = (file.indented, file.pooled);
         let scenario = Scenario {
             brokers,
             servers,
@@ -393,6 +462,7 @@
             on_request,
             indented,
             store,
+            pooled,
             events,
         };
         if checks.faults.is_empty() { Ok(scenario) } else { Err(checks.faults) }
@@ -401,7 +471,7 @@
 
 impl EventFile {
     /// The faults that it names: one, if it is sound.
-    fn faults(&self, checks: &mut Checks<'_>, at: &str, zones: usize) -> Vec<Fault> {
+    fn faults(&self, checks: &mut Checks<'_>, at: &str, brokers: usize, zones: usize) -> Vec<Fault> {
         let mut faults = Vec::new();
         let line = self.at.referenced.line();
         let key = |name: &str| format!("{at}.{name}");
@@ -415,6 +485,19 @@
             let every = checks.needed(&key("roll.every_s"), line, event.every_s.as_ref());
             faults.push(Fault::Roll { share, every });
         }
+        if let Some(event) = &self.upgrade {
+            let (brokers, every) = checks.brokers(&key("upgrade"), line, event, brokers);
+            if let Some(lasts) = &event.for_s {
+                let fault = "an upgrade has no time of its own".to_owned();
+                checks.fault(lasts.referenced.line(), &key("upgrade.for_s"), fault);
+            }
+            faults.push(Fault::Upgrade { brokers, every });
+        }
+        if let Some(event) = &self.drain {
+            let (brokers, every) = checks.brokers(&key("drain"), line, event, brokers);
+            let lasts = checks.drain_time(&key("drain.for_s"), line, event.for_s.as_ref());
+            faults.push(Fault::Drain { brokers, every, lasts });
+        }
         if let Some(event) = &self.pause {
             let share = checks.figure(&key("pause.share"), &event.share, 0.0, 1.0);
             let lasts = checks.needed(&key("pause.for_s"), line, event.for_s.as_ref());
@@ -522,6 +605,50 @@
         assert!(seen >= 7, "{seen} scenarios");
     }
 
+    #[test]
+    fn upgrades_and_drains_are_read_for_one_broker_or_a_share() {
+        let scenario = read(
+            "brokers: 4\nservers: 6\nrate: 20\nseconds: 9\npooled: true\nevents:\n  \
+            - {at: 1, upgrade: {broker: 3}}\n  - {at: 1, upgrade: {share: 0.5, every_s: 1.5}}\n  \
+            - {at: 2, drain: {broker: 0, for_s: 5}}\n  - {at: 2, drain: {share: 1, every_s: 0, for_s: 6}}\n",
+        )
+        .expect("sound");
+        let faults: Vec<Fault> = scenario.events.into_iter().map(|event| event.fault).collect();
+        let (every, seconds) = (Duration::from_millis(1500), Duration::from_secs);
+        let expected = [
+            Fault::Upgrade { brokers: Brokers::One(3), every: Duration::ZERO },
+            Fault::Upgrade { brokers: Brokers::Share(0.5), every },
+            Fault::Drain { brokers: Brokers::One(0), every: Duration::ZERO, lasts: seconds(5) },
+            Fault::Drain { brokers: Brokers::Share(1.0), every: Duration::ZERO, lasts: seconds(6) },
+        ];
+        assert!(scenario.pooled);
+        assert_eq!(faults, expected);
+    }
+
+    #[test]
+    fn upgrades_and_drains_of_no_broker_or_for_no_time_are_refused() {
+        let text = "brokers: 4\nservers: 6\nrate: 20\nseconds: 9\nevents:\n  \
+            - {at: 1, upgrade: {broker: 4}}\n  - {at: 1, upgrade: {}}\n  - {at: 1, upgrade: {share: 0.5}}\n  \
+            - {at: 1, upgrade: {share: 0, every_s: 1}}\n  - {at: 1, upgrade: {broker: 1, share: 1, every_s: 1}}\n  \
+            - {at: 1, upgrade: {broker: 1, every_s: 1}}\n  - {at: 1, upgrade: {broker: 1, for_s: 1}}\n  \
+            - {at: 1, drain: {broker: 1}}\n  - {at: 1, drain: {broker: 1, for_s: 4}}\n";
+        let expected = "s.yaml: line 6: events[0].upgrade.broker: must be 0 to 3\n\
+            s.yaml: line 7: events[1].upgrade: must name either `broker` or `share`\n\
+            s.yaml: line 8: events[2].upgrade.every_s: is missing\n\
+            s.yaml: line 9: events[3].upgrade.share: must be 0.01 to 1\n\
+            s.yaml: line 10: events[4].upgrade: must name either `broker` or `share`\n\
+            s.yaml: line 11: events[5].upgrade.every_s: one broker has no time between two\n\
+            s.yaml: line 12: events[6].upgrade.for_s: an upgrade has no time of its own\n\
+            s.yaml: line 13: events[7].drain.for_s: is missing\n\
+            s.yaml: line 14: events[8].drain.for_s: must be over 4\n";
+        assert_eq!(read(text).expect_err("faulty"), expected);
+        let unknown = read(
+            "brokers: 1\nservers: 1\nrate: 1\nseconds: 1\nevents:\n  - {at: 1, drain: {broker: 0, back_s: 5}}\n",
+        );
+        let unknown = unknown.expect_err("faulty");
+        assert!(unknown.starts_with("s.yaml: line 6: ") && unknown.contains("back_s"), "{unknown}");
+    }
+
     #[test]
     fn all_faults_are_named_with_their_lines() {
         let text = "brokers: 0\nservers: 6\nzones: 2\nrate: -1\nseconds: 9\nevents:\n  - at: 1\n    \
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::proxy::Rule;
-use crate::scenario::{Fault, Manner, Scenario};
+use crate::scenario::{Brokers, Fault, Manner, Scenario};
 
 /// How long a server that is replaced drains before its process ends.
 pub const DRAINS: Duration = Duration::from_millis(1500);
@@ -24,6 +24,12 @@
     Start(usize),
     /// It is told to end, and started again once it has.
     Restart(usize),
+    /// A second process of it is started, and takes over from the running one.
+    Upgrade(usize),
+    /// It is told to drain.
+    StartDrain(usize),
+    /// It is told to take clients again.
+    StopDrain(usize),
     /// It is stopped where it stands.
     Pause(usize),
     /// It goes on.
@@ -78,6 +84,15 @@
     all
 }
 
+/// The brokers that an event names, in the order in which it comes to them.
+fn choose(rng: &mut ChaCha8Rng, of: usize, chosen: Brokers) -> Vec<usize> {
+    match chosen {
+        // The count may have been lowered since the scenario was checked.
+        Brokers::One(broker) => (broker < of).then_some(broker).into_iter().collect(),
+        Brokers::Share(share) => some(rng, of, share),
+    }
+}
+
 impl Schedule {
     /// The schedule of a scenario.
     pub fn new(scenario: &Scenario) -> Self {
@@ -106,6 +121,18 @@
                     group.iter().for_each(|broker| act(at + *every * n as u32, Act::Restart(*broker)));
                 }
             }
+            Fault::Upgrade { brokers: chosen, every } => {
+                for (n, broker) in choose(rng, brokers, *chosen).into_iter().enumerate() {
+                    act(at + *every * n as u32, Act::Upgrade(broker));
+                }
+            }
+            Fault::Drain { brokers: chosen, every, lasts } => {
+                for (n, broker) in choose(rng, brokers, *chosen).into_iter().enumerate() {
+                    let start = at + *every * n as u32;
+                    act(start, Act::StartDrain(broker));
+                    act(start + *lasts, Act::StopDrain(broker));
+                }
+            }
             Fault::Pause { share, lasts } => {
                 for broker in some(rng, brokers, *share) {
                     act(at, Act::Pause(broker));
@@ -188,6 +215,12 @@
         let _: u64 = rng.random();
     }
 
+    /// Whether it upgrades or drains brokers: what clients must not notice.
+    pub fn is_seamless(&self) -> bool {
+        let seamless = |act: &Act| matches!(act, Act::Upgrade(_) | Act::StartDrain(_));
+        self.acts.iter().any(|(_, act)| seamless(act))
+    }
+
     /// When the last act is over.
     pub fn ends(&self) -> Duration {
         self.acts.last().map_or(Duration::ZERO, |(at, _)| *at)
@@ -246,6 +279,38 @@
         assert_eq!(seen, [1; 10]);
     }
 
+    #[test]
+    fn upgrades_come_to_each_broker_once_in_turn() {
+        let schedule = schedule(3, "  - {at: 2, upgrade: {share: 1, every_s: 0.5}}\n");
+        let mut seen = [0; 10];
+        for (n, (at, act)) in schedule.acts.iter().enumerate() {
+            let Act::Upgrade(broker) = act else { panic!("{act:?}") };
+            seen[*broker] += 1;
+            assert_eq!(*at, Duration::from_millis(2000 + 500 * n as u64));
+        }
+        assert_eq!(seen, [1; 10]);
+        assert!(schedule.is_seamless());
+    }
+
+    #[test]
+    fn brokers_that_drain_are_taken_back() {
+        let one = schedule(3, "  - {at: 2, drain: {broker: 6, for_s: 5}}\n");
+        let s = Duration::from_secs;
+        assert_eq!(one.acts, [(s(2), Act::StartDrain(6)), (s(7), Act::StopDrain(6))]);
+        let some = schedule(3, "  - {at: 1, drain: {share: 0.3, every_s: 1, for_s: 5}}\n");
+        let mut brokers: Vec<usize> = Vec::new();
+        for (at, act) in &some.acts {
+            if let Act::StartDrain(broker) = act {
+                assert_eq!(*at, s(1 + brokers.len() as u64));
+                assert!(some.acts.contains(&(*at + s(5), Act::StopDrain(*broker))));
+                brokers.push(*broker);
+            }
+        }
+        assert_eq!((brokers.len(), some.acts.len()), (3, 6));
+        assert!(one.is_seamless() && some.is_seamless());
+        assert!(!schedule(3, "  - {at: 2, roll: {share: 1, every_s: 1}}\n").is_seamless());
+    }
+
     #[test]
     fn those_that_were_killed_or_stood_still_are_excused() {
         let schedule = schedule(
--- a/crates/fleet/tests/faults.rs
+++ b/crates/fleet/tests/faults.rs
@@ -3,6 +3,8 @@
 
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -298,6 +300,11 @@
 
 /// What clients see of a broker that does so with each connection.
 fn seen(broker: impl Fn(TcpStream) + Send + 'static) -> Seen {
+    seen_by(false, broker)
+}
+
+/// The same, by clients that may pool their connections.
+fn seen_by(pooled: bool, broker: impl Fn(TcpStream) + Send + 'static) -> Seen {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let at = listener.local_addr().expect("bound");
     thread::spawn(move || listener.incoming().flatten().for_each(broker));
@@ -318,6 +325,7 @@
         from: Duration::from_millis(50),
         lasts: Duration::from_millis(100),
         seed: 1,
+        pooled,
     };
     let clients = Clients::start(load, Instant::now()).expect("starts");
     clients.tell(FrontTell::Front(0, Some(at)));
@@ -325,15 +333,20 @@
 }
 
 /// Reads a request to its end, and answers it so.
-fn answers(mut stream: TcpStream, answer: &str) {
+fn answers(stream: TcpStream, answer: &str) {
+    answers_next(&stream, answer);
+}
+
+/// Reads the next request of a connection and answers it so; gives whether there was one.
+fn answers_next(mut stream: &TcpStream, answer: &str) -> bool {
     let (mut request, mut bytes) = (Vec::new(), [0; 4096]);
     while !request.ends_with(b"}") {
         match stream.read(&mut bytes) {
             Ok(read @ 1..) => request.extend_from_slice(&bytes[..read]),
-            _ => return,
+            _ => return false,
         }
     }
-    let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{answer}", answer.len());
+    write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{answer}", answer.len()).is_ok()
 }
 
 #[test]
@@ -356,3 +369,26 @@
         assert_eq!(seen.wrong.len() as u32, seen.fates.values().map(|f| f.offered).sum::<u32>(), "{wrong}");
     }
 }
+
+// A connection carries request after request, and one that ends under its second is counted as closed.
+#[test]
+fn clients_that_pool_reuse_connections_and_count_those_that_end_under_a_request() {
+    let connections = Arc::new(AtomicU32::new(0));
+    let counter = connections.clone();
+    let kept = seen_by(true, move |stream| {
+        counter.fetch_add(1, Ordering::Relaxed);
+        thread::spawn(move || while answers_next(&stream, "{}") {});
+    });
+    let offered: u32 = kept.fates.values().map(|fates| fates.offered).sum();
+    assert!(offered > 1 && kept.unanswered.is_empty(), "{offered} queries, {:?}", kept.unanswered);
+    let used = connections.load(Ordering::Relaxed);
+    assert!(used < offered, "{used} connections for {offered} queries");
+    let closing = seen_by(true, |stream| {
+        thread::spawn(move || {
+            answers_next(&stream, "{}");
+            let _ = (&stream).read(&mut [0; 4096]);
+        });
+    });
+    let closed: u32 = closing.fates.values().map(|fates| fates.closed).sum();
+    assert!(closed > 0 && closed as usize == closing.unanswered.len(), "{closed} closed");
+}
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -61,6 +61,12 @@
     WrongAnswer,
     /// A broker ended by itself or did not start.
     Crashed,
+    /// A broker that was upgraded or drained refused a request, or a connection.
+    Refused,
+    /// The process that was to take over in an upgrade did not say in time that it takes clients.
+    NotReady,
+    /// A broker that was told to drain went on taking clients, or did not come back after its drain.
+    NotDrained,
 }
 
 /// A rule that was broken.
