Broker: a drain binds all requests that come after its call was answered

Cause: the control thread answers PUT /ops/drain/start at once, and the loop looked at it only after the requests that were ready in the same turn; `GET /up` still said yes to whoever had the answer.

Change: the loop heeds operators before it reads any request, and shows them where it stands after.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -317,6 +317,8 @@
         self.net.poll.wait(pause, ready)?;
         let now = self.net.clock.now();
         self.lifecycle.pass(now);
+        // Before any request is read: whoever has the answer to a call for a drain is told of it from then on.
+        self.heed_operators(now);
         for key in std::mem::take(&mut self.again) {
             self.client_ready(now, key);
         }
@@ -332,7 +334,7 @@
             self.step(now);
         }
         self.say(now);
-        self.heed_operators(now);
+        self.show_operators();
         self.looked = now;
         Ok(())
     }
@@ -925,11 +927,8 @@
         tracing::info!("stopping, {} clients left", self.clients.len());
     }
 
-    /// Does what operators have asked for, and shows them where the process stands.
+    /// Does what operators have asked for.
     fn heed_operators(&mut self, now: Time) {
-        let statistics = self.operations.statistics();
-        statistics.set_open_requests(self.core.open());
-        statistics.attempts_relayed(self.backend.take_relayed());
         match self.operations.drain_requested() {
             true if self.lifecycle.drain(now) => {
                 tracing::info!("draining, {} clients, {} open", self.clients.len(), self.core.open());
@@ -938,6 +937,13 @@
             false if self.lifecycle.resume() => tracing::info!("no longer draining"),
             _ => {}
         }
+    }
+
+    /// Shows operators where the process stands.
+    fn show_operators(&mut self) {
+        let statistics = self.operations.statistics();
+        statistics.set_open_requests(self.core.open());
+        statistics.attempts_relayed(self.backend.take_relayed());
         self.operations.set_ready(self.lifecycle.is_serving());
     }
 
