--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -14,6 +14,11 @@
 
 fn fleet(name: &str, scenario: &str, change: impl FnOnce(&mut Options)) -> Record {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    play(name, scenario, change)
+}
+
+/// Plays a fleet; the caller sees to it that others do not disturb it.
+fn play(name: &str, scenario: &str, change: impl FnOnce(&mut Options)) -> Record {
     let dir = std::env::temp_dir().join(format!("badgergauge-fleet-{}-{name}", std::process::id()));
     let mut options = Options::new(Path::new(env!("CARGO_BIN_EXE_badgergauge")), &dir, name);
     // A run of a few seconds has few to hold it for.
@@ -284,6 +289,99 @@
     assert!(rules(&slow).contains(&"Drained"), "{:?}", rules(&slow));
 }
 
+const SEAMLESS: &str = "
+brokers: 3
+servers: 4
+zones: 1
+cells: 2
+rate: 20
+seconds: 7
+seed: SEED
+pooled: true
+events:
+  - {at: 1, upgrade: {broker: 0}}
+  - {at: 1, drain: {broker: 2, for_s: 4.5}}
+  - {at: 2.5, upgrade: {broker: 1}}
+";
+
+// Two of three brokers are upgraded in turn while the third is drained and taken back: no request is lost or refused,
+// no connection ends under one, and no effect is doubled, whatever the seed. The fleets are small enough to run side
+// by side, and none of the figures hangs on how fast they are.
+#[test]
+fn upgrades_and_a_drain_go_unnoticed_whatever_the_seed() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    std::thread::scope(|scope| {
+        for seed in 1..=5 {
+            scope.spawn(move || {
+                let scenario = SEAMLESS.replace("SEED", &seed.to_string());
+                let record = play(&format!("seamless-{seed}"), &scenario, |_| {});
+                assert_eq!(rules(&record), [""; 0], "seed {seed}: {:?}", record.broken);
+                assert_eq!(sum(&record, |row| row.lost), 0, "seed {seed}");
+                let ready = record.upgrades.iter().filter(|upgrade| upgrade.ready_s.is_some()).count();
+                assert_eq!((record.upgrades.len(), ready), (2, 2), "seed {seed}: {:?}", record.upgrades);
+                assert!(record.drains.len() == 1 && record.drains[0].back_s.is_some(), "seed {seed}");
+                assert!(sum(&record, |row| row.in_time) > 100, "seed {seed}: hardly a query was answered");
+            });
+        }
+    });
+}
+
+const REPLACED: &str = "
+brokers: 1
+servers: 2
+rate: 200
+parts: 1
+seconds: 2
+pooled: true
+tile: {service_ms: 1}
+events:
+  - {at: 0.7, upgrade: {broker: 0}}
+";
+
+const UNCONTROLLED: &str = "
+brokers: 2
+servers: 2
+rate: 10
+seconds: 5
+pooled: true
+events:
+  - {at: 0.2, upgrade: {broker: 0}}
+  - {at: 0.2, drain: {broker: 1, for_s: 4.1}}
+";
+
+// The checks find what they are there for: a process that is gone before the next is ready, and brokers without a
+// control endpoint, which are never ready and do not drain.
+#[test]
+fn an_upgrade_with_a_gap_and_brokers_that_do_not_drain_break_rules() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let replaced = std::thread::spawn(|| {
+        play("replaced", REPLACED, |options| {
+            options.upgrade_gap = Some(std::time::Duration::from_millis(500))
+        })
+    });
+    // A broker's processes share a folder: where there was one already, the next one hangs.
+    let hangs = "mkdir \"$TMPDIR/started\" 2>/dev/null || exec sleep 1000";
+    let real = env!("CARGO_BIN_EXE_badgergauge");
+    let program = script("uncontrolled", &format!("{hangs}\nunset BALANCER_CONTROL\nexec {real}"));
+    let uncontrolled = play("uncontrolled", UNCONTROLLED, |options| {
+        options.program.clone_from(&program);
+        options.ready_within = std::time::Duration::from_secs(1);
+    });
+    let _ = std::fs::remove_file(&program);
+    let replaced = replaced.join().expect("played");
+    assert!(rules(&replaced).contains(&"Refused"), "{:?}", rules(&replaced));
+    let found = |what: &str| uncontrolled.broken.iter().any(|broken| broken.what.contains(what));
+    assert!(found("b0 run 2 was not ready"), "{:?}", uncontrolled.broken);
+    for what in ["call that starts a drain", "is up", "were idle", "was sent a request", "call that stops"] {
+        assert!(found(what), "{what}: {:?}", uncontrolled.broken);
+    }
+    assert!(
+        rules(&uncontrolled).iter().all(|rule| ["NotReady", "NotDrained"].contains(rule)),
+        "{:?}",
+        uncontrolled.broken
+    );
+}
+
 const PAIR: &str = "
 brokers: 2
 servers: 2
