Control endpoint: early callers keep their place, drains hold from their answer on

Cause: a call whose caller had ended its side did not wake the loop for the drain it asked for; /up could still say yes after the answer to PUT /ops/drain/start, as the loop heeded operators only at the end of a turn; with 32 places each further caller closed one that had just connected, and in a turn's ties any of them; a full endpoint closed one for a caller that did not exist; one that ended its side with half a call got no answer; places were reserved without regard to the process's descriptors (37 of 64).

Change: a turn says apart whether the loop has to be woken and whether the connection is over. The loop heeds drains before each request, and readiness is no from the call on. An eighth of the descriptors for operators (128 of 1024); a caller keeps its place for 100 ms, meanwhile others wait in the listener's queue; ties go by age; out of descriptors, one makes room. Half a call is told 400.

--- a/crates/control/src/connection.rs
+++ b/crates/control/src/connection.rs
@@ -4,7 +4,7 @@
 use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
-use badgergauge_net::http::{Reader, Response};
+use badgergauge_net::http::{HttpError, Reader, Response};
 use badgergauge_net::outbox::Outbox;
 
 use crate::calls::{self, Answered};
@@ -14,6 +14,8 @@
 const CALL_TIME: Duration = Duration::from_secs(10);
 /// An answer has to be taken in this time, and the connection ended by its caller.
 const ANSWER_TIME: Duration = Duration::from_secs(2);
+/// A connection keeps its place so long where all places are taken: its call may be on the way.
+const EVICTION_GRACE: Duration = Duration::from_millis(100);
 /// Reads of one turn, so that no caller keeps the thread from the others.
 const MAX_READS: usize = 4;
 
@@ -31,13 +33,11 @@
 
 /// What a turn at a connection led to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Turn {
-    /// It goes on.
-    Open,
-    /// It goes on, and its call asked the broker's loop for something.
-    ChangeRequested,
-    /// It is over.
-    Over,
+pub struct Turn {
+    /// Whether its call asked the broker's loop for something, which holds even where the caller has left.
+    pub requests_change: bool,
+    /// Whether it is over.
+    pub is_over: bool,
 }
 
 /// A connection of an operator.
@@ -81,23 +81,30 @@
         }
     }
 
-    /// Sorts connections by how soon they may make room for another: those that have been answered first, then
-    /// those whose call has been unfinished for longest.
+    /// From when on it may be closed to make room for another. One that has its answer may at once.
+    pub fn evictable_from(&self) -> Instant {
+        match self.phase {
+            Phase::Reading | Phase::Writing => self.since + EVICTION_GRACE,
+            Phase::Lingering => self.since,
+        }
+    }
+
+    /// Sorts connections by which is closed first to make room for another: those that have their answer, then those
+    /// that stand as they do for longest.
     pub fn eviction_rank(&self) -> (bool, Instant) {
-        (self.phase == Phase::Reading, self.since)
+        (self.phase != Phase::Lingering, self.since)
     }
 
     /// Does what the socket is ready for.
     pub fn ready(&mut self, now: Instant, operations: &Operations) -> Turn {
         if self.read().is_err() {
-            return Turn::Over;
-        }
-        let turn = self.take_call(now, operations);
-        match self.write(now) {
-            // A caller that has ended its side may still wait for the answer, but sends no more of its call.
-            Ok(()) if !self.ended || self.phase == Phase::Writing => turn,
-            _ => Turn::Over,
+            return Turn { requests_change: false, is_over: true };
         }
+        let requests_change = self.take_call(now, operations);
+        let written = self.write(now);
+        // A caller that has ended its side may still wait for the answer, but sends no more of its call.
+        let is_over = written.is_err() || (self.ended && self.phase != Phase::Writing);
+        Turn { requests_change, is_over }
     }
 
     fn read(&mut self) -> io::Result<()> {
@@ -118,12 +125,15 @@
         Ok(())
     }
 
-    fn take_call(&mut self, now: Instant, operations: &Operations) -> Turn {
+    /// Answers the call, if it is whole. Gives whether it asked the broker's loop for something.
+    fn take_call(&mut self, now: Instant, operations: &Operations) -> bool {
         if self.phase != Phase::Reading {
-            return Turn::Open;
+            return false;
         }
         let call = match self.reader.ready() {
-            Ok(false) => return Turn::Open,
+            // The rest of it will never come.
+            Ok(false) if self.ended && self.reader.begun() => Err(HttpError::Malformed),
+            Ok(false) => return false,
             Ok(true) => self.reader.request().map(|request| calls::answer(&request, operations)),
             Err(error) => Err(error),
         };
@@ -135,7 +145,7 @@
         self.outbox.push(answered.response.head(false));
         self.outbox.push(answered.response.body);
         (self.phase, self.since) = (Phase::Writing, now);
-        if answered.requests_change { Turn::ChangeRequested } else { Turn::Open }
+        answered.requests_change
     }
 
     fn write(&mut self, now: Instant) -> io::Result<()> {
--- a/crates/control/src/endpoint.rs
+++ b/crates/control/src/endpoint.rs
@@ -10,14 +10,11 @@
 use badgergauge_poll::{Poll, Ready, Waker};
 use thiserror::Error;
 
-use crate::connection::{Connection, Turn};
+use crate::connection::Connection;
 use crate::operations::Operations;
 
-/// Connections held at the most; beyond that the one that is missed least makes room.
-const MAX_CONNECTIONS: usize = 32;
-/// Descriptors that the endpoint uses at the most: its connections, its listener, its poller, and one connection that
-/// was accepted and waits for room.
-pub const MAX_DESCRIPTORS: usize = MAX_CONNECTIONS + 5;
+/// Descriptors that the endpoint uses beside its connections: its listener and its poller with its event and timer.
+const OWN_DESCRIPTORS: usize = 4;
 /// Connections accepted before those that are ready get their turn.
 const MAX_ACCEPTS: usize = 16;
 /// How long the thread waits at the most before it looks for connections whose time is over.
@@ -51,22 +48,38 @@
     address: SocketAddr,
 }
 
+/// Where an endpoint listens, and how much it may hold.
+#[derive(Clone, Copy, Debug)]
+pub struct EndpointConfig {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Connections held at the most; beyond that the one that is missed least makes room.
+    pub max_connections: usize,
+}
+
+impl EndpointConfig {
+    /// Descriptors that the endpoint uses at the most.
+    pub fn max_descriptors(&self) -> usize {
+        self.max_connections + OWN_DESCRIPTORS
+    }
+}
+
 impl Endpoint {
-    /// Listens at an address and serves calls from then on. `waker` wakes the broker's loop when a call has asked for a
-    /// change.
+    /// Listens and serves calls from then on. `waker` wakes the broker's loop when a call has asked for a change.
     ///
     /// # Errors
     ///
     /// When it can't listen or there is no thread for it.
     pub fn start(
-        address: SocketAddr,
+        config: EndpointConfig,
         operations: Arc<Operations>,
         waker: Waker,
     ) -> Result<Self, EndpointError> {
-        let bind = |source| EndpointError::Bind { address, source };
-        let listener = TcpListener::bind(address).map_err(bind)?;
+        let bind = |source| EndpointError::Bind { address: config.address, source };
+        let listener = badgergauge_poll::listen(config.address, false).map_err(bind)?;
         let address = listener.local_addr().map_err(bind)?;
-        let server = Server::new(listener, operations, waker).map_err(EndpointError::Thread)?;
+        let server = Server::new(listener, config.max_connections, operations, waker);
+        let server = server.map_err(EndpointError::Thread)?;
         let thread = thread::Builder::new().name("control".to_owned());
         thread.spawn(move || server.run()).map_err(EndpointError::Thread)?;
         Ok(Endpoint { address })
@@ -83,19 +96,32 @@
     poll: Poll,
     operations: Arc<Operations>,
     waker: Waker,
+    max_connections: usize,
     connections: HashMap<usize, Connection>,
     last_key: usize,
-    /// When to accept again, after the system had no room.
+    /// When to accept again, after there was no room.
     accepts_at: Option<Instant>,
 }
 
 impl Server {
-    fn new(listener: TcpListener, operations: Arc<Operations>, waker: Waker) -> io::Result<Self> {
-        listener.set_nonblocking(true)?;
+    fn new(
+        listener: TcpListener,
+        max_connections: usize,
+        operations: Arc<Operations>,
+        waker: Waker,
+    ) -> io::Result<Self> {
         let poll = Poll::new()?;
         poll.add(&listener, LISTENER, true, false)?;
-        let connections = HashMap::new();
-        Ok(Server { listener, poll, operations, waker, connections, last_key: LISTENER, accepts_at: None })
+        Ok(Server {
+            listener,
+            poll,
+            operations,
+            waker,
+            max_connections,
+            connections: HashMap::new(),
+            last_key: LISTENER,
+            accepts_at: None,
+        })
     }
 
     fn run(mut self) {
@@ -131,17 +157,28 @@
 
     fn accept(&mut self, now: Instant) {
         self.accepts_at = None;
-        for _ in 0..MAX_ACCEPTS {
+        for accepted in 0..MAX_ACCEPTS {
+            let is_full = self.connections.len() >= self.max_connections;
+            // Whether another one waits is for the next report to say: nobody has to go for none.
+            if is_full && accepted > 0 {
+                break;
+            }
+            if is_full && !self.make_room(now) {
+                // Those that wait keep their place in the system's queue until someone may go.
+                self.accepts_at = self.connections.values().map(Connection::evictable_from).min();
+                return;
+            }
             match self.listener.accept() {
                 Ok((stream, _)) => {
-                    self.make_room();
                     if stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true)).is_ok() {
                         self.admit(now, Connection::new(stream, now));
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                // Its caller has left, or no descriptor is free: reported at once again, the latter would spin.
+                Err(error) if is_transient(&error) => {}
+                // No descriptor is free: reported at once again, this would spin. One that makes room frees one.
                 Err(_) => {
+                    self.make_room(now);
                     self.accepts_at = Some(now + ACCEPT_PAUSE);
                     return;
                 }
@@ -160,22 +197,24 @@
         }
     }
 
-    fn make_room(&mut self) {
-        if self.connections.len() < MAX_CONNECTIONS {
-            return;
-        }
-        let first = self.connections.iter().min_by_key(|(_, connection)| connection.eviction_rank());
-        if let Some(key) = first.map(|(key, _)| *key) {
-            self.close(key);
-        }
+    /// Closes the connection that is missed least, if one may be closed. Gives whether there is room.
+    fn make_room(&mut self, now: Instant) -> bool {
+        let evictable = self.connections.iter().filter(|(_, connection)| connection.evictable_from() <= now);
+        // Those of one turn are told apart by their keys, which count up.
+        let first = evictable.min_by_key(|(key, connection)| (connection.eviction_rank(), **key));
+        let Some(key) = first.map(|(key, _)| *key) else { return false };
+        self.close(key);
+        true
     }
 
     fn serve(&mut self, now: Instant, key: usize) {
         let Some(connection) = self.connections.get_mut(&key) else { return };
-        match connection.ready(now, &self.operations) {
-            Turn::Over => return self.close(key),
-            Turn::ChangeRequested => self.waker.wake(),
-            Turn::Open => {}
+        let turn = connection.ready(now, &self.operations);
+        if turn.requests_change {
+            self.waker.wake();
+        }
+        if turn.is_over {
+            return self.close(key);
         }
         let Some(connection) = self.connections.get(&key) else { return };
         if self.poll.ask(connection.stream(), key, connection.wants_read(), connection.wants_write()).is_err()
@@ -201,3 +240,8 @@
         }
     }
 }
+
+/// Whether the caller that was next has left, or the call was interrupted: the one behind it may be accepted.
+fn is_transient(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted)
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,6 @@
 mod operations;
 mod statistics;
 
-pub use endpoint::{Endpoint, EndpointError, MAX_DESCRIPTORS};
+pub use endpoint::{Endpoint, EndpointConfig, EndpointError};
 pub use operations::Operations;
 pub use statistics::{Outcome, Statistics};
--- a/crates/control/src/operations.rs
+++ b/crates/control/src/operations.rs
@@ -29,9 +29,9 @@
         &self.statistics
     }
 
-    /// Whether the process takes clients.
+    /// Whether the process takes clients. A drain counts from the moment of its call, before the loop has seen it.
     pub fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::SeqCst)
+        self.ready.load(Ordering::SeqCst) && !self.drain_requested()
     }
 
     /// Says whether the process takes clients.
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -15,7 +15,7 @@
 use crate::backend::{Backend, Done};
 use crate::config::Config;
 use crate::config::settings::SiteSettings;
-use crate::control::{Endpoint, MAX_DESCRIPTORS, Operations, Outcome, Statistics};
+use crate::control::{Endpoint, EndpointConfig, Operations, Outcome, Statistics};
 use crate::core::{Command, Core, Final, NotTaken, Ticket};
 use crate::discovery::{Listing, Pace, Source, Told, Watch, WatchError};
 use crate::front::{Front, Pending, Taken};
@@ -38,6 +38,8 @@
 
 /// Descriptors for all but clients and tile servers: standard streams, poller, signal, listeners, watch.
 const RESERVED: usize = 24;
+/// Share of the descriptors that operators' connections may take.
+const OPERATOR_SHARE: usize = 8;
 /// A client without a request costs about so much memory, beside what its buffers hold.
 const CLIENT_MEMORY: usize = 4 * 1024;
 /// Share of the memory that clients may take, and as much again for what their buffers hold.
@@ -158,12 +160,14 @@
         let memory = config.bounds.memory_mb * 1024 * 1024;
         let by_memory = memory / CLIENT_SHARE / CLIENT_MEMORY;
         let is_operated = config.control.is_some();
-        let reserved = RESERVED + if is_operated { MAX_DESCRIPTORS } else { 0 };
+        let max_connections = config.bounds.sockets / OPERATOR_SHARE;
+        let endpoint = config.control.map(|address| EndpointConfig { address, max_connections });
+        let reserved = RESERVED + endpoint.map_or(0, |endpoint| endpoint.max_descriptors());
         let by_descriptors = config.bounds.sockets.saturating_sub(reserved + backend_links);
         let most_clients = by_descriptors.min(by_memory).max(1);
         let operations = Arc::new(Operations::new(Statistics::new(&settings.classes)));
-        if let Some(address) = config.control {
-            let endpoint = Endpoint::start(address, operations.clone(), net.poll.waker());
+        if let Some(endpoint) = endpoint {
+            let endpoint = Endpoint::start(endpoint, operations.clone(), net.poll.waker());
             let endpoint = endpoint.map_err(|error| invalid(format!("control: {error}")))?;
             tracing::info!("{} listens to operators on {}", config.name, endpoint.address());
         }
@@ -645,6 +649,8 @@
 
     /// Takes the request that a client's connection holds whole.
     fn take(&mut self, now: Time, key: usize) {
+        // A drain holds from the answer to its call on, whichever the loop learns of first: that or this request.
+        self.heed_drain(now);
         let stay = !self.lifecycle.is_closing();
         let able = self.core.can_serve() && self.lifecycle.is_serving();
         let Some(client) = self.clients.get_mut(&key) else { return };
@@ -930,6 +936,12 @@
         let statistics = self.operations.statistics();
         statistics.set_open_requests(self.core.open());
         statistics.attempts_relayed(self.backend.take_relayed());
+        self.heed_drain(now);
+        self.operations.set_ready(self.lifecycle.is_serving());
+    }
+
+    /// Begins or ends a drain, where operators have asked for that.
+    fn heed_drain(&mut self, now: Time) {
         match self.operations.drain_requested() {
             true if self.lifecycle.drain(now) => {
                 tracing::info!("draining, {} clients, {} open", self.clients.len(), self.core.open());
@@ -938,7 +950,6 @@
             false if self.lifecycle.resume() => tracing::info!("no longer draining"),
             _ => {}
         }
-        self.operations.set_ready(self.lifecycle.is_serving());
     }
 
     /// Sets the gauges that take a look at all servers.
