--- a/src/broker.rs
+++ b/src/broker.rs
@@ -321,6 +321,7 @@
         self.net.poll.wait(pause, ready)?;
         let now = self.net.clock.now();
         self.lifecycle.pass(now);
+        self.heed_drain(now);
         for key in std::mem::take(&mut self.again) {
             self.client_ready(now, key);
         }
@@ -647,12 +648,17 @@
         }
     }
 
+    /// Whether clients are to come, as `GET /up` and the control endpoint say.
+    fn is_ready(&self) -> bool {
+        self.core.can_serve() && self.lifecycle.is_serving()
+    }
+
     /// Takes the request that a client's connection holds whole.
     fn take(&mut self, now: Time, key: usize) {
-        // A drain holds from the answer to its call on, whichever the loop learns of first: that or this request.
+        // A turn may take long, and a drain holds from the answer to its call on.
         self.heed_drain(now);
         let stay = !self.lifecycle.is_closing();
-        let able = self.core.can_serve() && self.lifecycle.is_serving();
+        let able = self.is_ready();
         let Some(client) = self.clients.get_mut(&key) else { return };
         let (keep_alive, taken) = match client.request() {
             Ok(request) => {
@@ -937,7 +943,7 @@
         statistics.set_open_requests(self.core.open());
         statistics.attempts_relayed(self.backend.take_relayed());
         self.heed_drain(now);
-        self.operations.set_ready(self.lifecycle.is_serving());
+        self.operations.set_ready(self.is_ready());
     }
 
     /// Begins or ends a drain, where operators have asked for that.
--- a/tests/crossings/stage.rs
+++ b/tests/crossings/stage.rs
@@ -301,7 +301,19 @@
     bytes: VecDeque<u8>,
 }
 
+/// The status that an answer's head begins with.
+fn status(head: &str) -> u16 {
+    head.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or_else(|| panic!("{head}"))
+}
+
 impl Client {
+    fn connect(address: &str) -> Self {
+        let stream = TcpStream::connect(address).expect("listens");
+        stream.set_read_timeout(Some(HANGS)).expect("set");
+        stream.set_nodelay(true).expect("set");
+        Client { stream, bytes: VecDeque::new() }
+    }
+
     pub fn send(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).expect("written");
     }
@@ -326,7 +338,7 @@
     /// The status of the next answer.
     pub fn status(&mut self) -> u16 {
         let (head, _) = self.answer();
-        head.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or_else(|| panic!("{head}"))
+        status(&head)
     }
 
     fn byte(&mut self) -> u8 {
@@ -399,6 +411,9 @@
     program: Option<Child>,
     log: Option<Receiver<String>>,
     address: String,
+    /// Whether the broker listens to operators, and where.
+    pub is_operated: bool,
+    control_address: String,
     /// What the broker's shell is told before it starts it.
     pub limits: &'static str,
 }
@@ -430,6 +445,8 @@
             program: None,
             log: None,
             address: String::new(),
+            is_operated: false,
+            control_address: String::new(),
             limits: "",
         }
     }
@@ -482,6 +499,9 @@
             .env("BALANCER_LISTEN", "127.0.0.1:0")
             .env("BALANCER_DISCOVERY", self.discovery.address.to_string())
             .stderr(Stdio::piped());
+        if self.is_operated {
+            command.env("BALANCER_CONTROL", "127.0.0.1:0");
+        }
         let mut program = command.spawn().expect("starts");
         let log = std::io::BufReader::new(program.stderr.take().expect("piped"));
         let (sender, receiver) = channel();
@@ -495,13 +515,40 @@
             }
         });
         (self.program, self.log) = (Some(program), Some(receiver));
+        if self.is_operated {
+            self.control_address = self.logged_address(" listens to operators on ");
+        }
+    }
+
+    /// Waits for the line of the log that ends with an address behind these words.
+    fn logged_address(&self, words: &str) -> String {
+        let line = self.log(words);
+        line.rsplit(' ').next().expect("an address").to_owned()
     }
 
     /// Starts the broker and waits until clients may come.
     pub fn start(&mut self) {
         self.spawn();
-        let line = self.log(" listens ");
-        line.rsplit(' ').next().expect("an address").clone_into(&mut self.address);
+        self.started();
+    }
+
+    /// Waits until clients may come to a broker that was spawned.
+    pub fn started(&mut self) {
+        self.address = self.logged_address(" listens to clients on ");
+    }
+
+    /// A connection to the control endpoint.
+    pub fn operator(&self) -> Client {
+        Client::connect(&self.control_address)
+    }
+
+    /// A call to the control endpoint: the status and the body of its answer.
+    pub fn operate(&self, method: &str, path: &str) -> (u16, String) {
+        let mut operator = self.operator();
+        operator.send(&format!("{method} {path} HTTP/1.1\r\nHost: control\r\n\r\n"));
+        let (head, body) = operator.answer();
+        operator.ends();
+        (status(&head), body)
     }
 
     /// Waits for a line of the log with these words.
@@ -521,10 +568,7 @@
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(&self.address).expect("listens");
-        stream.set_read_timeout(Some(HANGS)).expect("set");
-        stream.set_nodelay(true).expect("set");
-        Client { stream, bytes: VecDeque::new() }
+        Client::connect(&self.address)
     }
 
     /// Waits until the broker has taken in all that was in its sockets when this was called.
