--- a/src/bin/badgergauge/serve.rs
+++ b/src/bin/badgergauge/serve.rs
@@ -47,6 +47,8 @@
                 let on = |on: bool| if on { "on" } else { "off" };
                 println!("{}: sound", config.name);
                 println!("clients: {}", config.listen);
+                let control = config.control.map_or_else(|| "off".to_owned(), |address| address.to_string());
+                println!("control: {control}");
                 println!("OGC front: {}", on(config.ogc.is_some()));
                 println!("trace: {}", on(config.service.trace.is_some()));
             }
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -101,6 +101,39 @@
     std::fs::remove_dir_all(&folder).expect("removed");
 }
 
+// Guards operators who look up where to call: `check` says it, whether it is in the variable, the file or nowhere.
+#[test]
+fn check_says_where_operators_call() {
+    let folder = std::env::temp_dir().join(format!("badgergauge-check-control-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let plain = include_str!("exchanges/config.json");
+    let named = plain.replace("\"control\":null", "\"control\":\"127.0.0.1:7001\"");
+    let check = |text: &str, variable: Option<&str>| {
+        let config = folder.join("config.json");
+        std::fs::write(&config, text).expect("written");
+        let mut command = program();
+        command.arg("check").env("BALANCER_CONFIG", &config).env("BALANCER_LISTEN", "127.0.0.1:0");
+        command.env("BALANCER_DISCOVERY", "127.0.0.1:1").env_remove("BALANCER_CONTROL");
+        command.envs(variable.map(|address| ("BALANCER_CONTROL", address)));
+        let output = command.output().expect("runs");
+        let said = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        (output.status.code(), said(&output.stdout), said(&output.stderr))
+    };
+    for (text, variable, line) in [
+        (plain, None, "control: off\n"),
+        (&named, None, "control: 127.0.0.1:7001\n"),
+        (&named, Some("127.0.0.1:7002"), "control: 127.0.0.1:7002\n"),
+    ] {
+        let (code, said, faults) = check(text, variable);
+        assert_eq!(code, Some(0), "{faults}");
+        assert!(said.contains(line), "{line:?} in {said}");
+    }
+    let (code, _, faults) = check(plain, Some("nowhere"));
+    assert_eq!(code, Some(1));
+    assert!(faults.contains("BALANCER_CONTROL: \"nowhere\" is no address"), "{faults}");
+    std::fs::remove_dir_all(&folder).expect("removed");
+}
+
 // Guards the exit codes: 2 is for wrong usage, and help says how to call a command.
 #[test]
 fn wrong_usage_and_help() {
