--- a/src/broker.rs
+++ b/src/broker.rs
@@ -19,7 +19,7 @@
 use crate::backend::{Backend, Done};
 use crate::config::Config;
 use crate::config::settings::SiteSettings;
-use crate::control::{Endpoint, MAX_DESCRIPTORS, Operations, Outcome, Statistics};
+use crate::control::{Endpoint, EndpointConfig, Operations, Outcome, Statistics};
 use crate::core::{Command, Core, Final, NotTaken, Ticket};
 use crate::discovery::{Listing, Pace, Source, Told, Watch, WatchError};
 use crate::front::{Front, Pending, Taken};
@@ -43,6 +43,8 @@
 
 /// Descriptors for all but clients and tile servers: standard streams, poller, signal, listeners, watch.
 const RESERVED: usize = 24;
+/// Share of the descriptors that operators' connections may take.
+const OPERATOR_SHARE: usize = 8;
 /// A client without a request costs about so much memory, beside what its buffers hold.
 const CLIENT_MEMORY: usize = 4 * 1024;
 /// Share of the memory that clients may take, and as much again for what their buffers hold.
@@ -171,13 +173,15 @@
         let memory = config.bounds.memory_mb * 1024 * 1024;
         let by_memory = memory / CLIENT_SHARE / CLIENT_MEMORY;
         let is_operated = config.control.is_some();
-        let reserved = RESERVED + if is_operated { MAX_DESCRIPTORS } else { 0 };
+        let max_connections = config.bounds.sockets / OPERATOR_SHARE;
+        let endpoint = config.control.map(|address| EndpointConfig { address, max_connections });
+        let reserved = RESERVED + endpoint.map_or(0, |endpoint| endpoint.max_descriptors());
         let fixed_descriptors = reserved + backend_links;
         let by_descriptors = config.bounds.sockets.saturating_sub(fixed_descriptors);
         let most_clients = by_descriptors.min(by_memory).max(1);
         let operations = Arc::new(Operations::new(Statistics::new(&settings.classes)));
-        if let Some(address) = config.control {
-            let endpoint = Endpoint::start(address, operations.clone(), net.poll.waker());
+        if let Some(endpoint) = endpoint {
+            let endpoint = Endpoint::start(endpoint, operations.clone(), net.poll.waker());
             let endpoint = endpoint.map_err(|error| invalid(format!("control: {error}")))?;
             tracing::info!("{} listens to operators on {}", config.name, endpoint.address());
         }
@@ -274,7 +278,8 @@
         }
         let ms = |from: Time, to: Time| to.since(from).as_secs_f64() * 1e3;
         let ready = broker.net.clock.now();
-        broker.heed_operators(ready);
+        broker.heed_drain(ready);
+        broker.show_operators();
         let told = match broker.watch.as_ref().is_some_and(Watch::has_told) {
             true => "told",
             false if broker.core.can_serve() => "the one of old",
@@ -355,7 +360,7 @@
         let now = self.net.clock.now();
         self.lifecycle.pass(now);
         // Before any request is read: whoever has the answer to a call for a drain is told of it from then on.
-        self.heed_operators(now);
+        self.heed_drain(now);
         for key in std::mem::take(&mut self.again) {
             self.client_ready(now, key);
         }
@@ -689,10 +694,17 @@
         }
     }
 
+    /// Whether clients are to come, as `GET /up` and the control endpoint say.
+    fn is_ready(&self) -> bool {
+        self.core.can_serve() && self.lifecycle.is_serving()
+    }
+
     /// Takes the request that a client's connection holds whole.
     fn take(&mut self, now: Time, key: usize) {
+        // A turn may take long, and a drain holds from the answer to its call on.
+        self.heed_drain(now);
         let stay = !self.lifecycle.is_closing();
-        let able = self.core.can_serve() && self.lifecycle.is_serving();
+        let able = self.is_ready();
         let Some(client) = self.clients.get_mut(&key) else { return };
         let (keep_alive, taken) = match client.request() {
             Ok(request) => {
@@ -971,8 +983,8 @@
         tracing::info!("stopping, {} clients left", self.clients.len());
     }
 
-    /// Does what operators have asked for.
-    fn heed_operators(&mut self, now: Time) {
+    /// Begins or ends a drain, where operators have asked for that.
+    fn heed_drain(&mut self, now: Time) {
         match self.operations.drain_requested() {
             true if self.lifecycle.drain(now) => {
                 tracing::info!("draining, {} clients, {} open", self.clients.len(), self.core.open());
@@ -988,7 +1000,7 @@
         let statistics = self.operations.statistics();
         statistics.set_open_requests(self.core.open());
         statistics.attempts_relayed(self.backend.take_relayed());
-        self.operations.set_ready(self.lifecycle.is_serving());
+        self.operations.set_ready(self.is_ready());
     }
 
     /// Sets the gauges that take a look at all servers.
