The broker's loop in modules by job; a server in use is not out of rotation

Accepting, clients' requests, discovery, signals, operators, peers and upgrades are modules of their own now (src/broker/), with nothing changed in them but names: SignalFlags, TraceRecorder, StateStore, Liveness, ORDINARY_REQUEST for Asked, Tape, Keeper, Fate, MODEST.

Cause: a server that the module ranks last still takes parts that run out of other holders.

--- a/crates/core/src/decide/avoided.rs
+++ b/crates/core/src/decide/avoided.rs
@@ -8,6 +8,9 @@
 use super::{CHECK_SPREADS, HOME_RATIO, LEAST_TIME, Node, Router, SILENT, START_SPREAD, Server};
 use crate::interface::{ServerId, ServerState, ShardId};
 
+/// A server that was sent something within so many mean aims is in use, whatever is held against it.
+const UNUSED_AIMS: f64 = 0.5;
+
 /// How a server that is up compares for an ordinary part: one of the class asked most, without a hint, with
 /// its whole aim ahead.
 struct Standing {
@@ -29,7 +32,8 @@
 impl Router {
     /// The listed servers that the router avoids as of its last step: those that drain, those that are cold
     /// and may be sent nothing at all, and those that are up, but that an ordinary part would not be sent to,
-    /// for any shard they hold, with something held against them. A server that is only slow, busy or cold is
+    /// for any shard they hold, with something held against them, and that nothing was sent to for half of a mean aim:
+    /// parts that run out of other holders may still go there. A server that is only slow, busy or cold is
     /// not among them, nor is one of several in trouble that is the best there is and is expected to be in time.
     pub fn avoided(&self) -> Vec<ServerId> {
         let mut node = self.0.copy_of_knowledge();
@@ -74,6 +78,10 @@
     fn doubted(&self) -> BTreeSet<ServerId> {
         let class = self.most_asked_class();
         let open = self.servers.iter().filter(|(_, server)| !self.is_shut(server));
+        let is_unused = |id: &ServerId| {
+            let last_sent = self.servers.get(id).map_or(self.now, |server| server.last_sent);
+            self.now.since(last_sent).as_secs_f64() >= UNUSED_AIMS * self.mean_aim
+        };
         let standings: BTreeMap<ServerId, Standing> =
             open.map(|(id, server)| (*id, self.standing(*id, server, class))).collect();
         let (mut avoided, mut wanted) = (BTreeSet::new(), BTreeSet::new());
@@ -83,7 +91,8 @@
             let known = || holders.iter().filter_map(|id| Some((*id, standings.get(id)?)));
             let best = known().map(|(_, standing)| standing.score).fold(f64::INFINITY, f64::min);
             for (id, standing) in known() {
-                let set = if standing.is_avoided(best) { &mut avoided } else { &mut wanted };
+                let set =
+                    if standing.is_avoided(best) && is_unused(&id) { &mut avoided } else { &mut wanted };
                 set.insert(id);
             }
         }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -81,7 +81,7 @@
 
 /// What became of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fate {
+pub enum Liveness {
     /// It goes on.
     Open,
     /// It is over.
@@ -191,29 +191,29 @@
 
     /// Reads what is there, or as much of it as one turn allows; the rest is reported again. It is read in each
     /// phase, as the client's end lies behind it.
-    pub fn read(&mut self, now: Time) -> Fate {
+    pub fn read(&mut self, now: Time) -> Liveness {
         let mut buffer = [0; 8 * 1024];
         self.drained = false;
         for _ in 0..READS {
             match self.stream.read(&mut buffer) {
-                Ok(0) => return Fate::Over,
+                Ok(0) => return Liveness::Over,
                 Ok(read) if matches!(self.phase, Phase::Lingering) => {
                     self.lingered += read;
                     if self.lingered > LINGER {
-                        return Fate::Over;
+                        return Liveness::Over;
                     }
                 }
                 Ok(_) if self.reader.full() => self.overrun = true,
                 Ok(read) => self.push(now, &buffer[..read]),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     self.drained = true;
-                    return Fate::Open;
+                    return Liveness::Open;
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return Fate::Over,
+                Err(_) => return Liveness::Over,
             }
         }
-        Fate::Open
+        Liveness::Open
     }
 
     fn push(&mut self, now: Time, bytes: &[u8]) {
@@ -294,16 +294,16 @@
 
     /// Writes what the socket takes. Behind an answer after which the connection ends goes its end, in this
     /// direction alone.
-    pub fn write(&mut self, now: Time) -> Fate {
-        let Phase::Answering { last } = self.phase else { return Fate::Open };
+    pub fn write(&mut self, now: Time) -> Liveness {
+        let Phase::Answering { last } = self.phase else { return Liveness::Open };
         let before = self.outbox.held();
         match self.outbox.flush(&mut self.stream) {
-            Err(_) => return Fate::Over,
+            Err(_) => return Liveness::Over,
             Ok(false) => {
                 if self.outbox.held() < before {
                     self.since = now;
                 }
-                return Fate::Open;
+                return Liveness::Open;
             }
             Ok(true) => {}
         }
@@ -312,16 +312,16 @@
         }
         let begun = self.reader.begun();
         self.enter(now, if begun { Phase::Reading { fresh: false } } else { Phase::Idle { fresh: false } });
-        Fate::Open
+        Liveness::Open
     }
 
     /// Ends this side. What the client sends from here on is never taken: it has met the end, and asks elsewhere.
-    pub fn end(&mut self, now: Time) -> Fate {
+    pub fn end(&mut self, now: Time) -> Liveness {
         self.reader = Reader::default();
         self.enter(now, Phase::Lingering);
         match self.stream.shutdown(Shutdown::Write) {
-            Ok(()) => Fate::Open,
-            Err(_) => Fate::Over,
+            Ok(()) => Liveness::Open,
+            Err(_) => Liveness::Over,
         }
     }
 
--- /dev/null
+++ b/src/broker/clients.rs
@@ -0,0 +1,205 @@
+//! Requests of clients: taken whole, one at a time on a connection, and answered.
+
+use super::{Broker, OGC_LISTEN, SLOW};
+use crate::control::Outcome;
+use crate::core::{Final, NotTaken, Ticket};
+use crate::front::{Pending, Taken};
+use crate::interface::Time;
+use crate::net::client::{Client, Expired, Liveness, Phase, Whole};
+use crate::net::http::Response;
+
+/// What a client's buffer may hold while buffers together hold more than they may: an ordinary request.
+const ORDINARY_REQUEST: usize = 4 * 1024;
+/// Requests taken of one client in one turn.
+const MAX_REQUESTS: usize = 8;
+
+impl Broker {
+    pub(super) fn client_ready(&mut self, now: Time, key: usize) {
+        let Some(client) = self.clients.get_mut(&key) else { return };
+        let liveness = client.read(now);
+        self.charge(key);
+        match liveness {
+            Liveness::Over => self.drop_client(key),
+            Liveness::Open => self.serve(now, key),
+        }
+    }
+
+    /// Takes the requests that are whole, one at a time, and writes what can be written.
+    pub(super) fn serve(&mut self, now: Time, key: usize) {
+        self.serve_turn(now, key);
+        self.charge(key);
+    }
+
+    /// Counts what a client's buffer holds now.
+    pub(super) fn charge(&mut self, key: usize) {
+        let Some(client) = self.clients.get_mut(&key) else { return };
+        let held = client.held();
+        self.buffered = self.buffered - std::mem::replace(&mut client.charged, held) + held;
+    }
+
+    pub(super) fn serve_turn(&mut self, now: Time, key: usize) {
+        let mut turn = 0;
+        loop {
+            let Some(client) = self.clients.get_mut(&key) else { return };
+            if client.write(now) == Liveness::Over {
+                self.drop_client(key);
+                return;
+            }
+            // A client that sends on without reading its answers is not taken from until it does.
+            match client.has_request() {
+                Ok(Whole::No) if self.buffered > self.most_buffered && client.is_greedy(ORDINARY_REQUEST) => {
+                    client.answer(now, Response::text(503, "too much to hold: try again"), false);
+                }
+                Ok(Whole::No) => break,
+                Ok(Whole::Unread) => {
+                    self.again.push(key);
+                    break;
+                }
+                Ok(Whole::Yes) if turn == MAX_REQUESTS => {
+                    self.again.push(key);
+                    break;
+                }
+                Ok(Whole::Yes) => {
+                    turn += 1;
+                    self.take(now, key);
+                }
+                Err(error) => client.answer(now, Response::text(error.status(), error.to_string()), false),
+            }
+        }
+        let Some(client) = self.clients.get_mut(&key) else { return };
+        // A report that was asked for and has not come still will.
+        let write = client.wants_write();
+        if client.asked_write.replace(write) != Some(write)
+            && self.net.poll.ask(&client.stream, key, true, write).is_err()
+        {
+            self.drop_client(key);
+        }
+    }
+
+    /// Takes the request that a client's connection holds whole.
+    pub(super) fn take(&mut self, now: Time, key: usize) {
+        // A turn may take long, and a drain holds from the answer to its call on.
+        self.heed_drain(now);
+        let stay = !self.lifecycle.is_closing();
+        let able = self.is_ready();
+        let Some(client) = self.clients.get_mut(&key) else { return };
+        let (keep_alive, taken) = match client.request() {
+            Ok(request) => {
+                (request.keep_alive, self.front.take(client.listener == OGC_LISTEN, &request, able))
+            }
+            Err(error) => (false, Taken::Answered(Response::text(error.status(), error.to_string()))),
+        };
+        // The client's time counts from its sending, of which the first byte in is the nearest sign.
+        let spent = now.since(client.begun()) + self.settings.module.on_the_way;
+        client.took(keep_alive);
+        let response = match taken {
+            Taken::Answered(response) => response,
+            Taken::Query(mut query, pending) => {
+                query.left = query.left.saturating_sub(spent).min(self.lifecycle.ends_by.since(now));
+                if let Some(holder) = self.core.holder(&query.name).filter(|holder| holder.0 != key as u64) {
+                    // Its client may have gone and sent the request once more, on this connection.
+                    self.look_at(now, holder.0 as usize);
+                }
+                let taken = self.core.take(now, query, Ticket(key as u64));
+                let Some(client) = self.clients.get_mut(&key) else { return };
+                match taken {
+                    Ok(id) => {
+                        client.wait(now, id, pending);
+                        return;
+                    }
+                    Err(why) => {
+                        let outcome = match why {
+                            NotTaken::Full => Outcome::Throttled,
+                            NotTaken::NameInUse => Outcome::Faulted,
+                        };
+                        self.operations.statistics().request_ended(pending.class, outcome);
+                        self.front.not_taken(&pending, why)
+                    }
+                }
+            }
+        };
+        if let Some(client) = self.clients.get_mut(&key) {
+            client.answer(now, response, stay);
+        }
+    }
+
+    pub(super) fn finish(&mut self, now: Time, ticket: Ticket, last: Final) {
+        let (key, stay) = (ticket.0 as usize, !self.lifecycle.is_closing());
+        let Some(client) = self.clients.get_mut(&key) else { return };
+        let Some(pending) = client.finish(now) else { return };
+        let outcome = match last {
+            Final::Answered { .. } => Outcome::Fulfilled,
+            Final::Refused { .. } => Outcome::Throttled,
+            Final::Failed => Outcome::Faulted,
+        };
+        self.operations.statistics().request_ended(pending.class, outcome);
+        client.answer(now, self.front.answer(&pending, last), stay);
+        self.serve(now, key);
+    }
+
+    /// Reads what a client has sent, and sees whether it has gone. What it holds is taken in its own turn.
+    pub(super) fn look_at(&mut self, now: Time, key: usize) {
+        let Some(client) = self.clients.get_mut(&key) else { return };
+        match client.read(now) {
+            Liveness::Over => self.drop_client(key),
+            Liveness::Open => self.again.push(key),
+        }
+    }
+
+    pub(super) fn drop_client(&mut self, key: usize) {
+        let Some(client) = self.clients.remove(&key) else { return };
+        self.net.poll.remove(&client.stream);
+        self.buffered -= client.charged;
+        if let Some(query) = client.query() {
+            self.core.client_gone(query);
+        }
+        if std::mem::take(&mut self.crowded) {
+            self.listen_on();
+        }
+    }
+
+    /// Ends connections that have stood as they do for too long.
+    pub(super) fn sweep_clients(&mut self, now: Time) {
+        let longest =
+            self.settings.module.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+        let expired = |(key, client): (&usize, &Client<Pending>)| Some((*key, client.expired(now, longest)?));
+        let expired: Vec<(usize, Expired)> = self.clients.iter().filter_map(expired).collect();
+        for (key, then) in expired {
+            match (then, self.clients.get_mut(&key)) {
+                (Expired::Rest, _) => self.end_client(now, key),
+                (Expired::Request, Some(client)) => {
+                    client.answer(now, Response::text(408, "the request did not end in time"), false);
+                    self.serve(now, key);
+                }
+                _ => self.drop_client(key),
+            }
+        }
+        // Answers that are not taken are held too: whoever has taken nothing for longest has the least to lose.
+        while self.buffered > self.most_buffered {
+            let slow = |client: &&Client<Pending>| {
+                matches!(client.phase(), Phase::Answering { .. }) && now.since(client.since()) >= SLOW
+            };
+            let slowest =
+                self.clients.iter().filter(|(_, c)| slow(c)).min_by_key(|(key, c)| (c.since(), **key));
+            let Some(key) = slowest.map(|(key, _)| *key) else { break };
+            self.drop_client(key);
+        }
+    }
+
+    /// Ends a connection that rests, unless a request has come meanwhile: that is taken.
+    pub(super) fn end_client(&mut self, now: Time, key: usize) {
+        self.client_ready(now, key);
+        if let Some(client) = self.clients.get_mut(&key).filter(|client| client.is_idle())
+            && client.end(now) == Liveness::Over
+        {
+            self.drop_client(key);
+        }
+    }
+
+    /// Ends the connections that are idle; the others end with their answer.
+    pub(super) fn stop_serving(&mut self, now: Time) {
+        for key in self.clients.keys().copied().collect::<Vec<_>>() {
+            self.end_client(now, key);
+        }
+    }
+}
--- /dev/null
+++ b/src/broker/operators.rs
@@ -0,0 +1,51 @@
+//! What operators ask for over the control endpoint, and what they are shown.
+
+use std::time::Duration;
+
+use super::Broker;
+use crate::interface::Time;
+use crate::net::Due;
+
+/// How often the gauges of servers are set anew: operators may read them half a second late.
+const GAUGES_PAUSE: Duration = Duration::from_millis(200);
+
+impl Broker {
+    /// Whether clients are to come, as `GET /up` and the control endpoint say.
+    pub(super) fn is_ready(&self) -> bool {
+        self.core.can_serve() && self.lifecycle.is_serving()
+    }
+
+    /// Begins or ends a drain, where operators have asked for that.
+    pub(super) fn heed_drain(&mut self, now: Time) {
+        match self.operations.drain_requested() {
+            true if self.lifecycle.drain(now) => {
+                tracing::info!("draining, {} clients, {} open", self.clients.len(), self.core.open());
+                self.net.wheel.arm(self.lifecycle.drain_rests_until, Due::DrainRest);
+            }
+            false if self.lifecycle.resume() => tracing::info!("no longer draining"),
+            _ => {}
+        }
+    }
+
+    /// Shows operators where the process stands.
+    pub(super) fn show_operators(&mut self) {
+        let statistics = self.operations.statistics();
+        statistics.set_open_requests(self.core.open());
+        statistics.attempts_relayed(self.backend.take_relayed());
+        self.operations.set_ready(self.is_ready());
+    }
+
+    /// Sets the gauges that take a look at all servers.
+    pub(super) fn set_gauges(&mut self, now: Time) {
+        let (up, draining) = self.core.listed();
+        self.operations.statistics().set_servers(up + draining, self.core.avoided().len());
+        self.net.wheel.arm(now.after(GAUGES_PAUSE), Due::Gauges);
+    }
+
+    /// Ends the connections that rest, where a drain's time for them is over.
+    pub(super) fn end_resting(&mut self, now: Time) {
+        if self.lifecycle.drain_rest(now).is_some_and(|rest| rest.is_zero()) {
+            self.stop_serving(now);
+        }
+    }
+}
--- a/src/record.rs
+++ b/src/record.rs
@@ -14,7 +14,7 @@
 use crate::net::clock::Clock;
 
 /// The recorder of a broker.
-pub struct Tape {
+pub struct TraceRecorder {
     recorder: Recorder,
     settings: Trace,
     last: u64,
@@ -24,7 +24,7 @@
     Limits { file_bytes: trace.file_bytes, file_age: trace.file_age, total_bytes: trace.total_bytes }
 }
 
-impl Tape {
+impl TraceRecorder {
     /// Starts to record where the operator's file says so.
     ///
     /// # Errors
@@ -54,7 +54,7 @@
         core.observe();
         core.note("started");
         tracing::info!("trace: recording to {}", trace.dir.display());
-        Ok(Some(Tape { recorder, settings: trace, last: 0 }))
+        Ok(Some(TraceRecorder { recorder, settings: trace, last: 0 }))
     }
 
     /// Hands over what the core's last step was about.
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,7 +26,7 @@
 const LEAST_GONE: usize = 64;
 
 /// The store of a running broker.
-pub struct Keeper {
+pub struct StateStore {
     writer: Writer,
     clock: Clock,
     discovery: String,
@@ -112,7 +112,7 @@
     Listing { members: members.into_values().collect(), ..known }
 }
 
-impl Keeper {
+impl StateStore {
     /// Opens the store, if there is to be one, and changes the list at the start to what is believed. A store that
     /// can't be used is set aside, with a line that says why, and the broker starts as new.
     ///
@@ -139,7 +139,7 @@
         };
         let discovery = discovery.to_string();
         tell(path, &stored, store.head().opened);
-        let mut keeper = Keeper {
+        let mut keeper = StateStore {
             writer: Writer::start(store, |fault| tracing::warn!("store: not written: {fault}"))?,
             clock,
             discovery,
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -13,7 +13,7 @@
     let _ = std::fs::remove_file(&path);
     let owner = Owner { name: "b0".into(), site: "s".into() };
     let (store, _) = Store::open(&path, &owner).expect("opens");
-    let mut keeper = Keeper {
+    let mut keeper = StateStore {
         writer: Writer::start(store, |fault| panic!("{fault}")).expect("starts"),
         clock: Clock::start(),
         discovery: "d".into(),
