--- a/crates/handover/src/predecessor.rs
+++ b/crates/handover/src/predecessor.rs
@@ -39,6 +39,8 @@
     StopAccepting,
     /// Accept clients again.
     ResumeAccepting,
+    /// Use all that the limits allow: the successor has ended before it was ready.
+    UseWholeLimits,
 }
 
 /// The predecessor's state.
@@ -74,7 +76,7 @@
             }
             (PredecessorPhase::Offered, PredecessorEvent::SuccessorEnded) => {
                 self.phase = PredecessorPhase::Waiting;
-                PredecessorAction::None
+                PredecessorAction::UseWholeLimits
             }
             (PredecessorPhase::Waiting, _)
             | (PredecessorPhase::Released, PredecessorEvent::SuccessorReady) => PredecessorAction::None,
--- /dev/null
+++ b/crates/handover/tests/state_machines.rs
@@ -0,0 +1,164 @@
+//! Both state machines of the hand-over, by table: each phase with each event.
+
+use badgergauge_handover::{
+    Offer, Predecessor, PredecessorAction, PredecessorEvent, PredecessorPhase, Refusal, Request, SocketRole,
+    Successor, SuccessorAction, SuccessorEvent, SuccessorPhase, VERSION,
+};
+
+const NAME: &str = "broker-1";
+const LISTEN: &str = "127.0.0.1:8080";
+
+fn request() -> Request {
+    Request { version: VERSION, name: NAME.to_owned(), listen: LISTEN.parse().expect("an address") }
+}
+
+fn requested() -> PredecessorEvent {
+    PredecessorEvent::Requested(request())
+}
+
+fn offer() -> Offer {
+    Offer { roles: vec![SocketRole::Clients], clients: 3, snapshot: Some("{}".to_owned()) }
+}
+
+/// A predecessor that was brought into this phase.
+fn predecessor(phase: PredecessorPhase) -> Predecessor {
+    let mut predecessor = Predecessor::new(NAME.to_owned(), LISTEN.parse().expect("an address"));
+    if phase != PredecessorPhase::Waiting {
+        predecessor.handle(requested(), false);
+    }
+    if phase == PredecessorPhase::Released {
+        predecessor.handle(PredecessorEvent::SuccessorReady, false);
+    }
+    assert_eq!(predecessor.phase(), phase);
+    predecessor
+}
+
+/// A successor that was brought into this phase.
+fn successor(phase: SuccessorPhase) -> Successor {
+    let mut successor = match phase {
+        SuccessorPhase::Alone => Successor::alone(),
+        _ => Successor::requested(),
+    };
+    if matches!(phase, SuccessorPhase::Adopted | SuccessorPhase::Ready) {
+        successor.handle(SuccessorEvent::Offered(offer()));
+    }
+    if phase == SuccessorPhase::Ready {
+        successor.handle(SuccessorEvent::Listening);
+    }
+    assert_eq!(successor.phase(), phase);
+    successor
+}
+
+#[test]
+fn each_phase_of_the_predecessor_with_each_event() {
+    use PredecessorAction as Action;
+    use PredecessorEvent::{SuccessorEnded, SuccessorReady};
+    use PredecessorPhase::{Offered, Released, Waiting};
+    let busy = || Action::Refuse(Refusal::Busy);
+    let table = [
+        (Waiting, requested(), Action::Offer, Offered),
+        (Waiting, SuccessorReady, Action::None, Waiting),
+        (Waiting, SuccessorEnded, Action::None, Waiting),
+        (Offered, requested(), busy(), Offered),
+        (Offered, SuccessorReady, Action::StopAccepting, Released),
+        (Offered, SuccessorEnded, Action::UseWholeLimits, Waiting),
+        (Released, requested(), busy(), Released),
+        (Released, SuccessorReady, Action::None, Released),
+        (Released, SuccessorEnded, Action::ResumeAccepting, Waiting),
+    ];
+    for (phase, event, action, next) in table {
+        let mut predecessor = predecessor(phase);
+        assert_eq!(predecessor.handle(event.clone(), false), action, "{phase:?}, {event:?}");
+        assert_eq!(predecessor.phase(), next, "{phase:?}, {event:?}");
+    }
+}
+
+#[test]
+fn each_phase_of_a_stopping_predecessor_with_each_event() {
+    use PredecessorAction as Action;
+    use PredecessorEvent::{SuccessorEnded, SuccessorReady};
+    use PredecessorPhase::{Offered, Released, Waiting};
+    let refused = || Action::Refuse(Refusal::NotServing);
+    let table = [
+        (Waiting, requested(), refused(), Waiting),
+        (Waiting, SuccessorReady, Action::None, Waiting),
+        (Waiting, SuccessorEnded, Action::None, Waiting),
+        (Offered, requested(), refused(), Offered),
+        (Offered, SuccessorReady, Action::StopAccepting, Released),
+        (Offered, SuccessorEnded, Action::UseWholeLimits, Waiting),
+        (Released, requested(), refused(), Released),
+        (Released, SuccessorReady, Action::None, Released),
+        (Released, SuccessorEnded, Action::None, Waiting),
+    ];
+    for (phase, event, action, next) in table {
+        let mut predecessor = predecessor(phase);
+        assert_eq!(predecessor.handle(event.clone(), true), action, "{phase:?}, {event:?}");
+        assert_eq!(predecessor.phase(), next, "{phase:?}, {event:?}");
+    }
+}
+
+#[test]
+fn a_request_of_another_version_or_for_another_broker_is_refused_in_each_phase() {
+    let table = [
+        (Request { version: VERSION + 1, ..request() }, Refusal::Version(VERSION)),
+        (Request { version: VERSION + 1, name: "other".to_owned(), ..request() }, Refusal::Version(VERSION)),
+        (Request { name: "other".to_owned(), ..request() }, Refusal::OtherBroker),
+        (
+            Request { listen: "127.0.0.1:8081".parse().expect("an address"), ..request() },
+            Refusal::OtherBroker,
+        ),
+    ];
+    for (request, refusal) in table {
+        for phase in [PredecessorPhase::Waiting, PredecessorPhase::Offered, PredecessorPhase::Released] {
+            for stopping in [false, true] {
+                let mut predecessor = predecessor(phase);
+                let action = predecessor.handle(PredecessorEvent::Requested(request.clone()), stopping);
+                assert_eq!(action, PredecessorAction::Refuse(refusal.clone()), "{phase:?}, {request:?}");
+                assert_eq!(predecessor.phase(), phase);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_further_successor_is_served_after_one_that_ended() {
+    for phase in [PredecessorPhase::Offered, PredecessorPhase::Released] {
+        let mut predecessor = predecessor(phase);
+        predecessor.handle(PredecessorEvent::SuccessorEnded, false);
+        assert_eq!(predecessor.handle(requested(), false), PredecessorAction::Offer, "{phase:?}");
+    }
+}
+
+#[test]
+fn each_phase_of_the_successor_with_each_event() {
+    use SuccessorAction as Action;
+    use SuccessorEvent::{Listening, NoAnswer, Offered, PredecessorEnded, Refused};
+    use SuccessorPhase::{Adopted, Alone, Ready, Requested};
+    let table = [
+        (Requested, Offered(offer()), Action::Adopt(offer()), Adopted),
+        (Requested, Refused(Refusal::Busy), Action::BindOwn, Alone),
+        (Requested, NoAnswer, Action::BindOwn, Alone),
+        (Requested, Listening, Action::None, Requested),
+        (Requested, PredecessorEnded, Action::BindOwn, Alone),
+        (Adopted, Offered(offer()), Action::None, Adopted),
+        (Adopted, Refused(Refusal::Busy), Action::None, Adopted),
+        (Adopted, NoAnswer, Action::UseWholeLimits, Alone),
+        (Adopted, Listening, Action::AnnounceReady, Ready),
+        (Adopted, PredecessorEnded, Action::UseWholeLimits, Alone),
+        (Ready, Offered(offer()), Action::None, Ready),
+        (Ready, Refused(Refusal::Busy), Action::None, Ready),
+        (Ready, NoAnswer, Action::UseWholeLimits, Alone),
+        (Ready, Listening, Action::None, Ready),
+        (Ready, PredecessorEnded, Action::UseWholeLimits, Alone),
+        (Alone, Offered(offer()), Action::None, Alone),
+        (Alone, Refused(Refusal::Busy), Action::None, Alone),
+        (Alone, NoAnswer, Action::None, Alone),
+        (Alone, Listening, Action::None, Alone),
+        (Alone, PredecessorEnded, Action::None, Alone),
+    ];
+    for (phase, event, action, next) in table {
+        let mut successor = successor(phase);
+        assert_eq!(successor.handle(event.clone()), action, "{phase:?}, {event:?}");
+        assert_eq!(successor.phase(), next, "{phase:?}, {event:?}");
+    }
+}
--- a/src/broker/upgrade.rs
+++ b/src/broker/upgrade.rs
@@ -16,6 +16,7 @@
             PredecessorAction::Offer => self.offer_sockets(now),
             PredecessorAction::StopAccepting => self.stop_accepting(),
             PredecessorAction::ResumeAccepting => self.resume_accepting(),
+            PredecessorAction::UseWholeLimits => self.serve_on(),
         }
     }
 
@@ -61,6 +62,12 @@
         tracing::info!("upgrade: the new process takes clients, {} are left here", self.clients.len());
     }
 
+    /// The successor has ended before it was ready: this process has accepted all along, and shares no limit any more.
+    fn serve_on(&mut self) {
+        self.most_clients = self.most_clients_alone;
+        tracing::warn!("upgrade: the new process has ended before it was ready, this one serves on");
+    }
+
     /// The successor has ended, and this process goes on in its place.
     fn resume_accepting(&mut self) {
         for (key, listener) in self.released.drain(..) {
