--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -146,7 +146,9 @@
                 // Where that leaves no time, each answer says from now on that its connection ends.
                 let serving = whole.saturating_sub(aim.saturating_mul(LAST_AIMS));
                 let has_time = serving > LAST_LISTENING && !self.is_drained();
-                let serving = if has_time { serving } else { Duration::ZERO };
+                // A client that was accepted just before the hand-over still has to send its first request.
+                let least = if self.handed_over { LAST_LISTENING } else { Duration::ZERO };
+                let serving = if has_time { serving } else { least };
                 let listening = if self.handed_over { Duration::ZERO } else { LAST_LISTENING };
                 self.listens_until = now.after(listening);
                 self.serves_until = now.after(serving);
--- a/src/lifecycle/tests.rs
+++ b/src/lifecycle/tests.rs
@@ -132,3 +132,18 @@
     lifecycle.left(lifecycle.serves_until, false, false, true);
     assert_eq!(lifecycle.phase(), Phase::Lingering);
 }
+
+// A client that was accepted just before the hand-over may send its first request after SIGTERM, also where aims leave
+// no time for more.
+#[test]
+fn after_a_hand_over_a_first_request_has_time_to_come() {
+    let mut lifecycle = Lifecycle::default();
+    lifecycle.started();
+    lifecycle.set_handed_over(true);
+    assert!(lifecycle.stop(at(0), &classes(5000, 3000)));
+    assert_eq!((lifecycle.phase(), lifecycle.serves_until), (Phase::Closing, at(500)));
+    lifecycle.left(at(499), false, false, true);
+    assert_eq!(lifecycle.phase(), Phase::Closing);
+    lifecycle.left(at(500), false, false, true);
+    assert_eq!(lifecycle.phase(), Phase::Lingering);
+}
