--- a/src/broker/clients.rs
+++ b/src/broker/clients.rs
@@ -81,7 +81,7 @@
         // A turn may take long, and a drain holds from the answer to its call on.
         self.heed_drain(now);
         let stay = !self.lifecycle.is_closing();
-        let able = self.is_ready();
+        let able = self.core.can_serve() && self.lifecycle.is_available();
         let Some(client) = self.clients.get_mut(&key) else { return };
         let (keep_alive, taken) = match client.request() {
             Ok(request) => {
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -82,6 +82,11 @@
         self.phase == Phase::Serving
     }
 
+    /// Whether clients are to come to this broker, be it to this process or to its successor on the same listeners.
+    pub fn is_available(&self) -> bool {
+        self.is_serving() || (self.handed_over && !self.is_drained())
+    }
+
     /// Whether operators have drained it.
     pub fn is_drained(&self) -> bool {
         self.phase == Phase::Drained
--- a/src/lifecycle/tests.rs
+++ b/src/lifecycle/tests.rs
@@ -127,6 +127,7 @@
     assert!(lifecycle.is_serving() && !lifecycle.is_closing());
     assert!(lifecycle.stop(at(0), &classes(500, 3000)));
     assert_eq!((lifecycle.phase(), lifecycle.listens_until), (Phase::Closing, at(0)));
+    assert!(lifecycle.is_available() && !lifecycle.is_serving(), "the broker is up, in another process");
     lifecycle.left(at(10), false, false, true);
     assert_eq!(lifecycle.phase(), Phase::Closing, "clients that rest have time");
     lifecycle.left(lifecycle.serves_until, false, false, true);
@@ -147,3 +148,21 @@
     lifecycle.left(at(500), false, false, true);
     assert_eq!(lifecycle.phase(), Phase::Lingering);
 }
+
+// Whoever asks an old process over a connection that it keeps asks after the broker, which is up as long as one of its
+// processes takes clients.
+#[test]
+fn a_broker_is_available_while_any_of_its_processes_takes_clients() {
+    let mut lifecycle = Lifecycle::default();
+    assert!(!lifecycle.is_available());
+    lifecycle.started();
+    assert!(lifecycle.is_available());
+    lifecycle.drain(at(0));
+    assert!(!lifecycle.is_available());
+    lifecycle.resume();
+    lifecycle.set_handed_over(true);
+    lifecycle.stop(at(0), &classes(500, 3000));
+    assert!(lifecycle.is_available());
+    lifecycle.set_handed_over(false);
+    assert!(!lifecycle.is_available(), "the successor has ended");
+}
--- a/tests/operations/figures.rs
+++ b/tests/operations/figures.rs
@@ -256,11 +256,12 @@
     day.until_figure("open_requests", 6);
     // It is owed an answer under that name already.
     assert_eq!(day.ask("search", "held-0", &[0]).0, 409);
+    // A client that leaves before its part is sent has none sent for it: all parts are out first.
+    until("a part does not come", || day.tiles[0].parts() == 6);
     for client in clients.drain(4..) {
         client.close();
     }
     day.until_figure("open_requests", 4);
-    until("a part does not come", || day.tiles[0].parts() == 6);
     day.tiles[0].release();
     for client in &mut clients {
         assert_eq!(day.answered("search", client).0, 200);
--- a/tests/upgrade/load.rs
+++ b/tests/upgrade/load.rs
@@ -110,6 +110,11 @@
         assert_eq!(self.lost(), 0, "{self:?}");
         assert!(self.parts.keys().all(|outcome| *outcome == Outcome::Answered(200)), "{self:?}");
     }
+
+    /// The broker said at no time that it is not up.
+    pub fn assert_up_throughout(&self) {
+        assert!(self.ups.keys().all(|outcome| *outcome == Outcome::Answered(200)), "{self:?}");
+    }
 }
 
 /// Clients that come without a pause until they are told to end.
--- a/tests/upgrade/stream.rs
+++ b/tests/upgrade/stream.rs
@@ -45,5 +45,6 @@
         ready_times[ready_times.len() - 1].as_secs_f64() * 1e3,
     );
     tally.assert_whole();
+    tally.assert_up_throughout();
     running.stop();
 }
