--- a/tests/upgrade/load.rs
+++ b/tests/upgrade/load.rs
@@ -162,7 +162,7 @@
     let mut number = 0;
     while !ends.load(Ordering::Relaxed) {
         number += 1;
-        if thread % 2 == 0 {
+        if thread.is_multiple_of(2) {
             *tally.ups.entry(exchange(address, UP)).or_default() += 1;
         } else {
             let part = request("search", &format!("c{thread}-{number}"), &[0], 50_000);
