--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -95,7 +95,13 @@
     file("service.yaml", "log: {level: loud}\n");
     let (code, said) = check(&config);
     assert_eq!(code, Some(1));
-    for fault in ["limits.sockets", "seed", "classes.floor", "cells", "service.yaml: line 1: log.level"] {
+    for fault in [
+        "limits.sockets",
+        "seed",
+        "settings.extra.leastShare: must",
+        "settings.extra.sets: must",
+        "service.yaml: line 1: log.level",
+    ] {
         assert!(said.contains(fault), "{fault} in {said}");
     }
     std::fs::remove_dir_all(&folder).expect("removed");
