Known red: a part is out twice where its broker is held up before a write

What callers see: a part that was given up goes out again while its server has yet to read that it was given up; two attempts of it are at work, and an effect may be doubled. Commit saw one such part in a planned roll.

The fleet harness gets an event, hold: {share, by_ms, every, for_s}: a library that is preloaded into a broker (crates/write_delay, which no other crate links) sleeps right before every so many-th write that gives a part up. The test plays the split of tests/fleet six times with 100 ms before every fourth such write. It fails, and is listed.

--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -1,6 +1,7 @@
 //! Runs a scenario: stand-ins, fault proxy, brokers, clients, and the schedule of faults between them.
 
 mod drain;
+mod hold;
 mod settings;
 mod upgrade;
 
@@ -78,14 +79,16 @@
     /// Upgrades kill the running process and start the one that is to take over so much later: to see what that
     /// costs.
     pub upgrade_gap: Option<Duration>,
+    /// The library that holds brokers up before writes; needed where the scenario does.
+    pub write_delay: Option<PathBuf>,
 }
 
 impl Options {
     /// The usual ones.
     pub fn new(program: &Path, dir: &Path, name: &str) -> Self {
-        let (program, dir, name) = (program.to_owned(), dir.to_owned(), name.to_owned());
+        let (dir, name) = (dir.to_owned(), name.to_owned());
         Options {
-            program,
+            program: program.to_owned(),
             dir,
             name,
             set: Vec::new(),
@@ -97,6 +100,7 @@
             rolls_kill: false,
             ready_within: READY_WITHIN,
             upgrade_gap: None,
+            write_delay: hold::library_beside(program),
         }
     }
 }
@@ -235,6 +239,7 @@
 /// When the harness itself can't do its part: no port, no descriptor, no folder, or no broker that starts.
 pub fn run(scenario: &Scenario, options: &Options) -> io::Result<Record> {
     fs::create_dir_all(&options.dir)?;
+    hold::check(scenario, options)?;
     let schedule = Schedule::new(scenario);
     let base = Instant::now();
     let mut builder = Builder::new(scenario.seed);
@@ -508,6 +513,7 @@
             Act::StopDrain(broker) => self.stop_drain(broker),
             Act::Pause(broker) => self.signal(broker, Signal::STOP),
             Act::Resume(broker) => self.signal(broker, Signal::CONT),
+            Act::DelayWrites(broker, delay) => self.delay_writes(broker, delay)?,
             Act::Cut(broker) => {
                 let path = self.file(broker, "state");
                 if path.exists() {
@@ -634,6 +640,7 @@
             .env_remove("BALANCER_DISCOVERY")
             .env_remove("BALANCER_NAME")
             .current_dir(&self.options.dir);
+        self.preload_write_delay(broker, &mut command)?;
         let log = self.file(broker, "log");
         let process = Process::start(command, &log, broker, run, self.notes.clone())?;
         self.brokers[broker].starts = run;
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -114,6 +114,9 @@
     Drain { brokers: Brokers, every: Duration, lasts: Duration },
     /// So many of the brokers are stopped for a while (SIGSTOP, SIGCONT).
     Pause { share: f64, lasts: Duration },
+    /// So many of the brokers are held up for a moment right before some of the writes that give a part up: before
+    /// each `every`-th of them, by so long, as a busy machine may do between a clock's reading and a system call.
+    Hold { share: f64, by: Duration, every: u64, lasts: Duration },
     /// So many of the brokers' stores are wiped or cut to half their length, where they have one; brokers that run
     /// keep theirs open, so it is for those that were killed.
     Stores { share: f64, cut: bool },
--- a/crates/fleet/src/scenario/file.rs
+++ b/crates/fleet/src/scenario/file.rs
@@ -9,6 +9,9 @@
 use super::checks::Checks;
 use super::{Event, Fault, Manner, Scenario, ScenarioFault, Tile};
 
+/// Longest time for which a broker is held up, in milliseconds.
+const MAX_HOLD_MS: f64 = 1000.0;
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct File {
@@ -57,6 +60,7 @@
     upgrade: Option<OfBrokers>,
     drain: Option<OfBrokers>,
     pause: Option<Some2>,
+    hold: Option<HoldFile>,
     wipe_stores: Option<Share>,
     cut_stores: Option<Share>,
     reload: Option<Nothing>,
@@ -91,6 +95,15 @@
     pub(super) for_s: Option<Spanned<f64>>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct HoldFile {
+    share: Spanned<f64>,
+    by_ms: Spanned<f64>,
+    every: Spanned<u64>,
+    for_s: Spanned<f64>,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Share {
@@ -270,6 +283,16 @@
             let lasts = checks.needed(&key("pause.for_s"), line, event.for_s.as_ref());
             faults.push(Fault::Pause { share, lasts });
         }
+        if let Some(event) = &self.hold {
+            faults.push(Fault::Hold {
+                share: checks.figure(&key("hold.share"), &event.share, 0.0, 1.0),
+                by: Duration::from_secs_f64(
+                    checks.figure(&key("hold.by_ms"), &event.by_ms, 0.0, MAX_HOLD_MS) / 1e3,
+                ),
+                every: checks.count(&key("hold.every"), &event.every, 1, 1_000_000) as u64,
+                lasts: checks.seconds(&key("hold.for_s"), &event.for_s),
+            });
+        }
         for (event, name, cut) in
             [(&self.wipe_stores, "wipe_stores", false), (&self.cut_stores, "cut_stores", true)]
         {
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -34,6 +34,8 @@
     Pause(usize),
     /// It goes on.
     Resume(usize),
+    /// It is held up before some of its writes from now on, or before none any more.
+    DelayWrites(usize, Option<WriteDelay>),
     /// Its store is wiped.
     Wipe(usize),
     /// Its store is cut to half its length.
@@ -50,6 +52,15 @@
     ResetLinks(Links),
 }
 
+/// How a broker is held up before writes that give a part up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WriteDelay {
+    /// Each so many-th of these writes is delayed.
+    pub every: u64,
+    /// By so much.
+    pub by: Duration,
+}
+
 /// A choice of links.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Links {
@@ -139,6 +150,12 @@
                     act(at + *lasts, Act::Resume(broker));
                 }
             }
+            Fault::Hold { share, by, every, lasts } => {
+                for broker in some(rng, brokers, *share) {
+                    act(at, Act::DelayWrites(broker, Some(WriteDelay { every: *every, by: *by })));
+                    act(at + *lasts, Act::DelayWrites(broker, None));
+                }
+            }
             Fault::Stores { share, cut } => {
                 for broker in some(rng, brokers, *share) {
                     act(at, if *cut { Act::Cut(broker) } else { Act::Wipe(broker) });
--- a/tests/fleet.rs
+++ b/tests/fleet/main.rs
@@ -1,26 +1,51 @@
 //! Fleets of the program as processes, with faults between them. Each test asserts figures of the whole fleet, and
 //! shows that they fail where the part that they rest on is taken away.
 
+mod held_up;
+
 use std::path::Path;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Condvar, Mutex, PoisonError};
 
 use badgergauge_fleet::record::{Record, Row};
 use badgergauge_fleet::run::{self, Options};
 use badgergauge_fleet::scenario::Scenario;
 use serde_json::json;
 
-/// One fleet at a time: figures of one are not to hang on another's.
-static ALONE: Mutex<()> = Mutex::new(());
+/// A fleet keeps this many cores busy at its peaks: no more are played side by side, so that none waits for another.
+const CORES_PER_FLEET: usize = 2;
+
+/// Fleets that are being played.
+static PLAYING: Mutex<usize> = Mutex::new(0);
+static PLAYED: Condvar = Condvar::new();
+
+/// A place for one fleet beside the others.
+struct Place;
+
+impl Place {
+    /// Waits for a place.
+    fn take() -> Self {
+        let cores = std::thread::available_parallelism().map_or(1, usize::from);
+        let most = (cores / CORES_PER_FLEET).max(1);
+        let playing = PLAYING.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut playing =
+            PLAYED.wait_while(playing, |playing| *playing >= most).unwrap_or_else(PoisonError::into_inner);
+        *playing += 1;
+        Place
+    }
+}
 
-fn fleet(name: &str, scenario: &str, change: impl FnOnce(&mut Options)) -> Record {
-    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
-    play(name, scenario, change)
+impl Drop for Place {
+    fn drop(&mut self) {
+        *PLAYING.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        PLAYED.notify_one();
+    }
 }
 
-/// Plays a fleet; the caller sees to it that others do not disturb it.
-fn play(name: &str, scenario: &str, change: impl FnOnce(&mut Options)) -> Record {
+/// Plays a fleet.
+fn fleet(name: &str, scenario: &str, change: impl FnOnce(&mut Options)) -> Record {
     let dir = std::env::temp_dir().join(format!("badgergauge-fleet-{}-{name}", std::process::id()));
     let mut options = Options::new(Path::new(env!("CARGO_BIN_EXE_badgergauge")), &dir, name);
+    let _place = Place::take();
     // A run of a few seconds has few to hold it for.
     options.hold = 3;
     change(&mut options);
@@ -312,12 +337,11 @@
 // by side, and none of the figures hangs on how fast they are.
 #[test]
 fn upgrades_and_a_drain_go_unnoticed_whatever_the_seed() {
-    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     std::thread::scope(|scope| {
         for seed in 1..=5 {
             scope.spawn(move || {
                 let scenario = SEAMLESS.replace("SEED", &seed.to_string());
-                let record = play(&format!("seamless-{seed}"), &scenario, |_| {});
+                let record = fleet(&format!("seamless-{seed}"), &scenario, |_| {});
                 assert_eq!(rules(&record), [""; 0], "seed {seed}: {:?}", record.broken);
                 assert_eq!(sum(&record, |row| row.lost), 0, "seed {seed}");
                 let ready = record.upgrades.iter().filter(|upgrade| upgrade.ready_s.is_some()).count();
@@ -356,9 +380,8 @@
 // control endpoint, which are never ready and do not drain.
 #[test]
 fn an_upgrade_with_a_gap_and_brokers_that_do_not_drain_break_rules() {
-    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     let replaced = std::thread::spawn(|| {
-        play("replaced", REPLACED, |options| {
+        fleet("replaced", REPLACED, |options| {
             options.upgrade_gap = Some(std::time::Duration::from_millis(500))
         })
     });
@@ -366,7 +389,7 @@
     let hangs = "mkdir \"$TMPDIR/started\" 2>/dev/null || exec sleep 1000";
     let real = env!("CARGO_BIN_EXE_badgergauge");
     let program = script("uncontrolled", &format!("{hangs}\nunset BALANCER_CONTROL\nexec {real}"));
-    let uncontrolled = play("uncontrolled", UNCONTROLLED, |options| {
+    let uncontrolled = fleet("uncontrolled", UNCONTROLLED, |options| {
         options.program.clone_from(&program);
         options.ready_within = std::time::Duration::from_secs(1);
     });
