--- a/crates/write_delay/tests/preloaded.rs
+++ b/crates/write_delay/tests/preloaded.rs
@@ -25,7 +25,8 @@
     let mut stream = TcpStream::connect(address).expect("listens");
     for frame in [CALL, GIVE_UP, CALL, GIVE_UP] {
         let start = Instant::now();
-        stream.write_vectored(&[IoSlice::new(frame)]).expect("written");
+        let written = stream.write_vectored(&[IoSlice::new(frame)]).expect("written");
+        assert_eq!(written, frame.len(), "so few bytes go out at once");
         println!("took {}", start.elapsed().as_millis());
     }
 }
