Backend in modules: connection, frames, give-ups, choice of a connection, silence, set-up times

Each has a module of its own now, with the field's names: Connection (was Link), HeldOutcome (Held), ConnectionLosses (Ends), ClosedBy (Ended), GIVE_UP_READ_WITHIN (HEARD_AFTER).

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -35,7 +35,7 @@
     /// The end of what a server that drains may still be sent.
     Drained(ServerId),
     /// A look for connections to servers that have fallen silent.
-    Look,
+    SilenceCheck,
     /// The end of the wait after word that attempts were given up: their outcomes may be told.
     Heard,
     /// A look over connections that stand idle.
--- /dev/null
+++ b/src/backend/connection.rs
@@ -0,0 +1,241 @@
+//! One connection to a tile server: the frames that wait to be written, the parts that it answers for, and the bytes that
+//! have come.
+
+use std::collections::{HashMap, VecDeque};
+use std::io::{self, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use super::frame::{Frame, MAX_FRAME, encode, without};
+use crate::config::settings::SiteSettings;
+use crate::core::AttemptId;
+use crate::interface::{ServerId, Time};
+use crate::net::clock::Clock;
+use crate::net::outbox::{GATHER, Outbox};
+
+/// What a connection's buffer keeps between answers, which are short as a rule.
+const KEPT_BUFFER: usize = 4 * 1024;
+
+/// A part that a connection answers for.
+pub(super) struct CarriedPart {
+    pub(super) attempt: AttemptId,
+    /// When its frame's last byte was written: from here on it may run.
+    pub(super) written: Option<Time>,
+    /// When it was given up: nobody waits for it any more, but its answer may still come.
+    pub(super) abandoned: Option<Time>,
+    /// When the word that it was given up was written whole.
+    pub(super) told: Option<Time>,
+}
+
+/// A connection to a tile server, from the first packet on.
+pub(super) struct Connection {
+    pub(super) server: ServerId,
+    pub(super) address: SocketAddr,
+    pub(super) stream: TcpStream,
+    pub(super) connected: bool,
+    /// Attempts that might no longer begin when their turn to be written came.
+    pub(super) late: Vec<AttemptId>,
+    /// Frames that are not encoded yet, then those that are, in step with the outbox.
+    pub(super) waiting: VecDeque<Frame>,
+    pub(super) encoded: VecDeque<Frame>,
+    pub(super) outbox: Outbox,
+    pub(super) bytes: Vec<u8>,
+    /// Since when a frame is begun and not whole.
+    pub(super) begun: Option<Time>,
+    /// The part that was answered last, whose answer may come twice.
+    pub(super) answered: String,
+    /// Parts by their id on the wire, which recurs over a part's attempts.
+    pub(super) parts: HashMap<String, CarriedPart>,
+    pub(super) probes: VecDeque<Time>,
+    pub(super) last_used: Time,
+    /// When anything last came.
+    pub(super) heard: Time,
+    /// A part was given up on it after a long silence, which goes on.
+    pub(super) doubted: bool,
+    /// It was probed for this silence of its own.
+    pub(super) probed: bool,
+    /// Whether the poller was asked for writability.
+    pub(super) asked_write: bool,
+    /// The number of the step whose sends may still join the last frame.
+    pub(super) step: u64,
+    /// Attempts whose last byte was written since this was last taken.
+    pub(super) relayed: u64,
+    /// Parts that were given up long ago are still unanswered on it: it gets nothing new, and ends once
+    /// nobody waits for anything on it.
+    pub(super) retired: bool,
+}
+
+impl Connection {
+    /// A connection that was begun, and has still to come up.
+    pub(super) fn new(server: ServerId, address: SocketAddr, stream: TcpStream, now: Time) -> Self {
+        Connection {
+            server,
+            address,
+            stream,
+            connected: false,
+            late: Vec::new(),
+            waiting: VecDeque::new(),
+            encoded: VecDeque::new(),
+            outbox: Outbox::default(),
+            bytes: Vec::new(),
+            begun: None,
+            answered: String::new(),
+            parts: HashMap::new(),
+            probes: VecDeque::new(),
+            last_used: now,
+            heard: now,
+            doubted: false,
+            probed: false,
+            asked_write: true,
+            step: 0,
+            relayed: 0,
+            retired: false,
+        }
+    }
+
+    /// Whether nothing is out or queued that anyone waits for.
+    pub(super) fn is_idle(&self) -> bool {
+        self.connected
+            && self.outbox.is_empty()
+            && self.waiting.is_empty()
+            && self.probes.is_empty()
+            && self.parts.values().all(|part| part.abandoned.is_some())
+    }
+
+    /// Parts on it that someone waits for.
+    pub(super) fn waited_for(&self) -> usize {
+        self.parts.values().filter(|part| part.abandoned.is_none()).count()
+    }
+
+    /// Since when nothing has come, though parts are out that someone waits for.
+    pub(super) fn silent_since(&self) -> Option<Time> {
+        let waited = self.parts.values().filter(|part| part.abandoned.is_none());
+        Some(waited.filter_map(|part| part.written).min()?.max(self.heard))
+    }
+
+    /// Whether it may have fallen silent for good. Silence counts from the last word or later, so the parts that are
+    /// out are looked through only where that word is old.
+    pub(super) fn is_doubted(&self, now: Time, quiet: Duration) -> bool {
+        let is_silent = || self.silent_since().is_some_and(|since| now.since(since) >= quiet);
+        self.doubted || (now.since(self.heard) >= quiet && is_silent())
+    }
+
+    /// Writes what the socket takes. `now` is the loop's reading of the clock, and may be old: what holds from the
+    /// moment of a write is measured here, on both sides of it.
+    pub(super) fn write(&mut self, now: Time, clock: &Clock, settings: &SiteSettings) -> io::Result<()> {
+        loop {
+            let now = now.max(clock.now());
+            while self.outbox.len() < GATHER
+                && let Some(mut frame) = self.waiting.pop_front()
+            {
+                if !self.leave_late(&mut frame, now) {
+                    continue;
+                }
+                self.outbox.push(encode(&frame, now, settings));
+                self.encoded.push_back(frame);
+            }
+            if self.outbox.is_empty() {
+                return Ok(());
+            }
+            let before = self.outbox.finished();
+            let result = self.outbox.flush(&mut self.stream);
+            // The process may have been held up before the write: only now is it known to have happened. A server
+            // that was told of a give-up by an earlier reading would seem to have had its time to read it.
+            let written = now.max(clock.now());
+            for _ in before..self.outbox.finished() {
+                self.last_used = written;
+                match self.encoded.pop_front() {
+                    Some(Frame::Query(parts)) => {
+                        self.relayed += parts.len() as u64;
+                        for (name, _) in parts {
+                            self.parts.entry(name).and_modify(|part| part.written = Some(written));
+                        }
+                    }
+                    Some(Frame::Cancel(name)) => {
+                        self.parts.entry(name).and_modify(|part| part.told = Some(written));
+                    }
+                    _ => {}
+                }
+            }
+            if !result? {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Takes the attempts out of a frame that may not begin any more. Gives whether anything is left of it.
+    pub(super) fn leave_late(&mut self, frame: &mut Frame, now: Time) -> bool {
+        let Frame::Query(parts) = frame else { return true };
+        for (name, send) in parts.extract_if(.., |(_, send)| send.latest.is_some_and(|latest| now > latest)) {
+            self.parts.remove(&name);
+            self.late.push(send.attempt);
+        }
+        !parts.is_empty()
+    }
+
+    pub(super) fn read(&mut self, now: Time) -> io::Result<()> {
+        let mut buffer = [0; 16 * 1024];
+        loop {
+            match self.stream.read(&mut buffer) {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(read) => {
+                    (self.last_used, self.heard, self.doubted, self.probed) = (now, now, false, false);
+                    self.bytes.extend_from_slice(&buffer[..read]);
+                    // The rest is reported again, once these frames are taken.
+                    if self.bytes.len() > MAX_FRAME + buffer.len() {
+                        return Ok(());
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// Takes the whole frames out of what was read, and tells whether the rest may become one.
+    pub(super) fn frames(&mut self) -> (Vec<Vec<u8>>, bool) {
+        let (mut frames, mut at, mut sound) = (Vec::new(), 0, true);
+        while let Some((length, rest)) = self.bytes[at..].split_first_chunk::<4>() {
+            let length = u32::from_be_bytes(*length) as usize;
+            let known = rest.first().is_none_or(|letter| b"aepl".contains(letter));
+            if length == 0 || length > MAX_FRAME || !known {
+                sound = false;
+                break;
+            }
+            let Some(frame) = rest.get(..length) else { break };
+            frames.push(frame.to_vec());
+            at += 4 + length;
+        }
+        self.bytes.drain(..at);
+        self.bytes.shrink_to(KEPT_BUFFER);
+        (frames, sound)
+    }
+
+    /// Takes an attempt back whose frame has not been begun.
+    pub(super) fn take_back(&mut self, attempt: AttemptId, settings: &SiteSettings) -> bool {
+        let begun = self.outbox.begun();
+        let encoded = self.encoded.iter_mut().enumerate().skip(begun);
+        for (index, frame) in encoded {
+            let Some((name, left)) = without(frame, attempt) else { continue };
+            self.parts.remove(&name);
+            if left == 0 {
+                self.outbox.replace(index, None);
+                self.encoded.remove(index);
+            } else {
+                let bytes = encode(frame, self.last_used, settings);
+                self.outbox.replace(index, Some(bytes));
+            }
+            return true;
+        }
+        for index in 0..self.waiting.len() {
+            let Some((name, left)) = without(&mut self.waiting[index], attempt) else { continue };
+            self.parts.remove(&name);
+            if left == 0 {
+                self.waiting.remove(index);
+            }
+            return true;
+        }
+        false
+    }
+}
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -1,8 +1,10 @@
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpListener;
 
+use super::silence::DEAD_AFTER;
 use super::*;
 use crate::interface::PartId;
+use crate::net::clock::Clock;
 
 struct Bench {
     backend: Backend,
@@ -35,7 +37,7 @@
 
     /// Handles what the poller reports until every part's frame is written whole.
     fn write_all(&mut self) {
-        while self.backend.links.values().any(|l| l.parts.values().any(|p| p.written.is_none())) {
+        while self.backend.connections.values().any(|l| l.parts.values().any(|p| p.written.is_none())) {
             let mut ready = Vec::new();
             self.net.poll.wait(None, &mut ready).expect("polls");
             for report in ready {
@@ -85,7 +87,7 @@
     let (limit, whole) = (bench.backend.setup.limit(), bench.backend.settings.connect_time_out);
     assert!(limit < whole, "{limit:?} of {whole:?}");
     bench.send(1);
-    let key = *bench.backend.links.keys().next().expect("one");
+    let key = *bench.backend.connections.keys().next().expect("one");
     let mut due = Vec::new();
     let at = bench.net.clock.now().after(limit + Duration::from_millis(20));
     bench.net.wheel.expire(at, &mut due);
@@ -98,7 +100,7 @@
 fn what_never_went_out_never_ran() {
     let mut bench = bench();
     let attempt = bench.send(1);
-    let key = *bench.backend.links.keys().next().expect("one");
+    let key = *bench.backend.connections.keys().next().expect("one");
     bench.backend.connect_time_out(&bench.net, key);
     bench.backend.give_up(bench.net.clock.now(), attempt, Verdict::NoAnswer);
     assert_eq!(bench.run(1), [(PartId(1), Verdict::NoConnection)]);
@@ -137,13 +139,14 @@
         let now = bench.net.clock.now();
         bench.backend.flush(&mut bench.net, now);
     }
-    let mut parts: Vec<usize> = bench.backend.links.values().map(|link| link.parts.len()).collect();
+    let mut parts: Vec<usize> =
+        bench.backend.connections.values().map(|connection| connection.parts.len()).collect();
     parts.sort_unstable();
     assert_eq!(parts, [2, 2, 2]);
     let long_after = bench.net.clock.now().after(Duration::from_secs(3600));
-    bench.backend.servers.get_mut(&SERVER).expect("open").ended.fade(long_after, 1.0);
+    bench.backend.servers.get_mut(&SERVER).expect("open").losses.fade(long_after, 1.0);
     bench.send(20);
-    assert_eq!(bench.backend.held(), 3, "one of the three carries it");
+    assert_eq!(bench.backend.connection_count(), 3, "one of the three carries it");
 }
 
 /// A part is out on a connection that falls silent. Its server answers probes on another one, and on the silent
@@ -155,8 +158,8 @@
     let (mut first, _) = bench.server.accept().expect("connected");
     let now = bench.net.clock.now();
     let quiet = bench.backend.quiet;
-    bench.backend.look(&mut bench.net, now.after(quiet));
-    assert_eq!(bench.backend.held(), 2, "another connection shows whether the server is well");
+    bench.backend.end_silent(&mut bench.net, now.after(quiet));
+    assert_eq!(bench.backend.connection_count(), 2, "another connection shows whether the server is well");
     let server = bench.server.try_clone().expect("cloned");
     let answers = std::thread::spawn(move || {
         let (mut second, _) = server.accept().expect("connected");
@@ -189,7 +192,7 @@
     bench.backend.done.clear();
     // Looked at anew it is not probed again, and once it has been silent for long enough it ends.
     for quiets in [2, DEAD_AFTER + 1] {
-        bench.backend.look(&mut bench.net, now.after(quiet * quiets));
+        bench.backend.end_silent(&mut bench.net, now.after(quiet * quiets));
     }
     let heard = now.after(quiet * (DEAD_AFTER + 2));
     bench.backend.flush(&mut bench.net, heard);
@@ -215,8 +218,8 @@
     bench.send(3);
     let unsent = [1, 2, 3].map(|part| (PartId(part), Verdict::NoConnection));
     assert_eq!(bench.run(3), unsent);
-    let link = bench.backend.links.values().next().expect("one");
-    assert!(link.waiting.is_empty() && link.outbox.is_empty() && link.parts.is_empty());
+    let connection = bench.backend.connections.values().next().expect("one");
+    assert!(connection.waiting.is_empty() && connection.outbox.is_empty() && connection.parts.is_empty());
 }
 
 // Guards the streams of a connection: what a server has swallowed does not use them up for good. The
@@ -230,15 +233,15 @@
     bench.backend.give_up(now, first, Verdict::Cancelled);
     bench.backend.sweep(&bench.net, now.after(Duration::from_secs(59)));
     bench.send(3);
-    assert_eq!(bench.backend.held(), 1);
+    assert_eq!(bench.backend.connection_count(), 1);
     bench.backend.sweep(&bench.net, now.after(Duration::from_secs(61)));
     bench.send(4);
-    assert_eq!(bench.backend.held(), 2);
+    assert_eq!(bench.backend.connection_count(), 2);
     bench.backend.give_up(now, second, Verdict::Cancelled);
     bench.backend.give_up(now, (PartId(3), 0), Verdict::Cancelled);
     bench.backend.flush(&mut bench.net, now);
     bench.backend.sweep(&bench.net, now.after(Duration::from_secs(61)));
-    assert_eq!(bench.backend.held(), 1);
+    assert_eq!(bench.backend.connection_count(), 1);
 }
 
 // Guards memory and descriptors on a long day: of servers that were replaced, and of parts that were given up,
@@ -264,14 +267,15 @@
         bench.write_all();
         bench.backend.shut(server);
         bench.backend.give_up(now, (PartId(2 * number), 0), Verdict::Cancelled);
-        now = now.after(longest + HEARD_AFTER);
+        now = now.after(longest + GIVE_UP_READ_WITHIN);
         bench.backend.give_up(now, (PartId(2 * number + 1), 0), Verdict::NoAnswer);
         bench.backend.flush(&mut bench.net, now);
-        now = now.after(HEARD_AFTER * 2);
+        now = now.after(GIVE_UP_READ_WITHIN * 2);
         bench.backend.flush(&mut bench.net, now);
         bench.backend.sweep(&bench.net, now);
         let kept = &bench.backend;
-        let tables = [kept.servers.len(), kept.links.len(), kept.attempts.len(), kept.held.len()];
+        let tables =
+            [kept.servers.len(), kept.connections.len(), kept.attempts.len(), kept.held_outcomes.len()];
         // The one server that `bench` lists, with none of the rest.
         assert_eq!(tables, [1, 0, 0, 0], "servers, connections, attempts, held outcomes");
         assert_eq!(bench.backend.done.drain(..).count(), 2, "each part has its outcome");
@@ -297,19 +301,19 @@
         assert!(count > 0, "the connection stays");
         read.extend_from_slice(&bytes[..count]);
     }
-    bench.backend.flush(&mut bench.net, now.after(HEARD_AFTER / 2));
+    bench.backend.flush(&mut bench.net, now.after(GIVE_UP_READ_WITHIN / 2));
     assert!(bench.backend.done.is_empty(), "told within the slack");
     let written_by = bench.net.clock.now();
-    bench.backend.flush(&mut bench.net, written_by.after(HEARD_AFTER));
+    bench.backend.flush(&mut bench.net, written_by.after(GIVE_UP_READ_WITHIN));
     assert_eq!(bench.run(1), [(PartId(1), Verdict::Cancelled)]);
     // A close here is such word for all that are out on the connection.
-    let key = *bench.backend.links.keys().next().expect("one connection");
+    let key = *bench.backend.connections.keys().next().expect("one connection");
     let before = bench.backend.now;
-    bench.backend.drop_link(&bench.net, key, Ended::Here);
+    bench.backend.drop_connection(&bench.net, key, ClosedBy::Broker);
     let closed_by = bench.net.clock.now().max(before);
-    bench.backend.flush(&mut bench.net, before.after(HEARD_AFTER / 2));
+    bench.backend.flush(&mut bench.net, before.after(GIVE_UP_READ_WITHIN / 2));
     assert!(bench.backend.done.is_empty(), "told before the close could be read");
-    bench.backend.flush(&mut bench.net, closed_by.after(HEARD_AFTER));
+    bench.backend.flush(&mut bench.net, closed_by.after(GIVE_UP_READ_WITHIN));
     assert_eq!(bench.run(1), [(PartId(2), Verdict::ConnectionLost)]);
     let _ = second;
 }
@@ -330,10 +334,12 @@
     let old = not_written_before.before(HELD_UP);
     bench.backend.give_up(old, first, Verdict::Cancelled);
     bench.backend.flush(&mut bench.net, old);
-    bench.backend.flush(&mut bench.net, not_written_before.after(HEARD_AFTER - Duration::from_nanos(1)));
+    bench
+        .backend
+        .flush(&mut bench.net, not_written_before.after(GIVE_UP_READ_WITHIN - Duration::from_nanos(1)));
     assert!(bench.backend.done.is_empty(), "told before the server had its time");
     let written_by = bench.net.clock.now();
-    bench.backend.flush(&mut bench.net, written_by.after(HEARD_AFTER));
+    bench.backend.flush(&mut bench.net, written_by.after(GIVE_UP_READ_WITHIN));
     assert_eq!(bench.run(1), [(PartId(1), Verdict::Cancelled)]);
 }
 
@@ -346,16 +352,18 @@
     bench.send(2);
     let (_stream, _) = bench.server.accept().expect("the connection comes");
     bench.write_all();
-    let key = *bench.backend.links.keys().next().expect("one connection");
+    let key = *bench.backend.connections.keys().next().expect("one connection");
     let not_closed_before = bench.net.clock.now();
     let old = not_closed_before.before(HELD_UP);
     bench.backend.now = old;
     bench.backend.give_up(old, first, Verdict::Cancelled);
-    bench.backend.drop_link(&bench.net, key, Ended::Here);
-    bench.backend.flush(&mut bench.net, not_closed_before.after(HEARD_AFTER - Duration::from_nanos(1)));
+    bench.backend.drop_connection(&bench.net, key, ClosedBy::Broker);
+    bench
+        .backend
+        .flush(&mut bench.net, not_closed_before.after(GIVE_UP_READ_WITHIN - Duration::from_nanos(1)));
     assert!(bench.backend.done.is_empty(), "told before the server had its time");
     let closed_by = bench.net.clock.now();
-    bench.backend.flush(&mut bench.net, closed_by.after(HEARD_AFTER));
+    bench.backend.flush(&mut bench.net, closed_by.after(GIVE_UP_READ_WITHIN));
     let mut ended = bench.run(2);
     ended.sort_by_key(|(part, _)| *part);
     assert_eq!(ended, [(PartId(1), Verdict::Cancelled), (PartId(2), Verdict::ConnectionLost)]);
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -192,7 +192,7 @@
         let now = clock.now();
         net.wheel.arm(now, Due::Watch);
         net.wheel.arm(now.after(SWEEP), Due::Sweep);
-        net.wheel.arm(now, Due::Look);
+        net.wheel.arm(now, Due::SilenceCheck);
         if is_operated {
             net.wheel.arm(now, Due::Gauges);
         }
@@ -378,9 +378,9 @@
             Due::Drained(_) => {}
             Due::Watch if now < self.watch_at => {}
             Due::Watch => self.tend_watch(now),
-            Due::Look => {
-                self.net.wheel.arm(now.after(self.backend.look_pause()), Due::Look);
-                self.backend.look(&mut self.net, now);
+            Due::SilenceCheck => {
+                self.net.wheel.arm(now.after(self.backend.silence_check_interval()), Due::SilenceCheck);
+                self.backend.end_silent(&mut self.net, now);
             }
             Due::Sweep => self.sweep(now),
             // The outcomes come with the gather that follows.
