A frame that waits behind a full socket says what holds when it is written

A part that waited behind a socket that its server did not read was told to the server with the time that it had when it was queued (a test: 5.15 s where 3 s were left), and a repeat went out after its window.

The window was looked at before a frame was encoded and never after.

Mend: frames of which nothing is written are put back and made anew at each write; taking back and shutting a server use the same way. It holds as nothing is kept in bytes but what the socket has begun to take. Outbox::replace has gone with its last user; its test asserts the same of take_back_last.

--- a/crates/net/src/outbox.rs
+++ b/crates/net/src/outbox.rs
@@ -43,15 +43,10 @@
         usize::from(self.written > 0)
     }
 
-    /// Takes a piece back that has not been begun, or puts another in its place.
-    pub fn replace(&mut self, index: usize, piece: Option<Vec<u8>>) {
-        if index < self.begun() {
-            return;
-        }
-        match (piece, self.pieces.get_mut(index)) {
-            (Some(piece), Some(place)) => *place = piece,
-            (None, Some(_)) => drop(self.pieces.remove(index)),
-            (_, None) => {}
+    /// Takes the last piece back, unless it has been begun.
+    pub fn take_back_last(&mut self) {
+        if self.pieces.len() > self.begun() {
+            self.pieces.pop_back();
         }
     }
 
--- a/crates/net/src/outbox/tests.rs
+++ b/crates/net/src/outbox/tests.rs
@@ -41,10 +41,15 @@
     }
     let mut sink = Narrow(Vec::new(), 1);
     assert!(!outbox.flush(&mut sink).expect("takes one byte"));
-    outbox.replace(0, None);
-    outbox.replace(2, None);
-    outbox.replace(1, Some("DEF".into()));
+    (0..10).for_each(|_| outbox.take_back_last());
+    assert_eq!((outbox.len(), outbox.begun()), (1, 1));
+    outbox.push("DEF".into());
     sink.1 = 100;
     assert!(outbox.flush(&mut sink).expect("takes the rest"));
-    assert_eq!(sink.0, b"abcDEFjkl");
+    assert_eq!(sink.0, b"abcDEF");
+    // Between two pieces nothing is begun, and all can be taken back.
+    outbox.push("ghi".into());
+    outbox.take_back_last();
+    outbox.take_back_last();
+    assert!(outbox.is_empty());
 }
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -127,13 +127,8 @@
         state.open = false;
         for key in state.connections.clone() {
             let Some(connection) = self.connections.get_mut(&key) else { continue };
-            let mut unsent = connection.waiting.drain(..).collect::<Vec<_>>();
-            while connection.encoded.len() > connection.outbox.begun() {
-                let last = connection.encoded.len() - 1;
-                connection.outbox.replace(last, None);
-                unsent.extend(connection.encoded.pop_back());
-            }
-            for frame in unsent {
+            connection.unencode();
+            for frame in std::mem::take(&mut connection.waiting) {
                 match frame {
                     Frame::Query(parts) => {
                         for (name, send) in parts {
@@ -374,7 +369,7 @@
     /// Asks the poller for what a connection waits for.
     fn ask(&mut self, net: &Net, key: usize, reported: bool) {
         let Some(connection) = self.connections.get_mut(&key) else { return };
-        let write = !connection.connected || !connection.outbox.is_empty();
+        let write = connection.wants_write();
         if reported || write != connection.asked_write {
             connection.asked_write = write;
             if net.poll.ask(&connection.stream, key, true, write).is_err() {
--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -123,6 +123,7 @@
     /// Writes what the socket takes. `now` is the loop's reading of the clock, and may be old: what holds from the
     /// moment of a write is measured here, on both sides of it.
     pub(super) fn write(&mut self, now: Time, clock: &Clock, settings: &SiteSettings) -> io::Result<()> {
+        self.unencode();
         loop {
             let now = now.max(clock.now());
             while self.outbox.len() < GATHER
@@ -163,6 +164,22 @@
         }
     }
 
+    /// Puts the frames back of which nothing was written. What a frame says, and whether it may go out at all, depends on
+    /// when it is written: one that waited behind a full socket would tell its server of time that has gone by.
+    pub(super) fn unencode(&mut self) {
+        while self.encoded.len() > self.outbox.begun()
+            && let Some(frame) = self.encoded.pop_back()
+        {
+            self.outbox.take_back_last();
+            self.waiting.push_front(frame);
+        }
+    }
+
+    /// Whether anything waits to be written, or the connection has yet to come up.
+    pub(super) fn wants_write(&self) -> bool {
+        !self.connected || !self.outbox.is_empty() || !self.waiting.is_empty()
+    }
+
     /// Takes the attempts out of a frame that may not begin any more. Gives whether anything is left of it.
     pub(super) fn leave_late(&mut self, frame: &mut Frame, now: Time) -> bool {
         let Frame::Query(parts) = frame else { return true };
@@ -213,21 +230,8 @@
     }
 
     /// Takes an attempt back whose frame has not been begun.
-    pub(super) fn take_back(&mut self, attempt: AttemptId, settings: &SiteSettings) -> bool {
-        let begun = self.outbox.begun();
-        let encoded = self.encoded.iter_mut().enumerate().skip(begun);
-        for (index, frame) in encoded {
-            let Some((name, left)) = without(frame, attempt) else { continue };
-            self.parts.remove(&name);
-            if left == 0 {
-                self.outbox.replace(index, None);
-                self.encoded.remove(index);
-            } else {
-                let bytes = encode(frame, self.last_used, settings);
-                self.outbox.replace(index, Some(bytes));
-            }
-            return true;
-        }
+    pub(super) fn take_back(&mut self, attempt: AttemptId) -> bool {
+        self.unencode();
         for index in 0..self.waiting.len() {
             let Some((name, left)) = without(&mut self.waiting[index], attempt) else { continue };
             self.parts.remove(&name);
--- a/src/backend/give_up.rs
+++ b/src/backend/give_up.rs
@@ -50,7 +50,7 @@
         else {
             return;
         };
-        if connection.take_back(attempt, &self.settings) {
+        if connection.take_back(attempt) {
             finish(&mut self.attempts, &mut self.done, attempt, Verdict::NotSent);
         }
     }
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -1,5 +1,5 @@
 use std::io::{Read, Write};
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 
 use super::silence::DEAD_AFTER;
 use super::*;
@@ -26,22 +26,31 @@
 
 impl Bench {
     fn send(&mut self, part: u64) -> AttemptId {
-        let (attempt, now) = ((PartId(part), 0), self.net.clock.now());
-        let (query, text) = (format!("q{part}").into(), "t".into());
+        self.send_text(part, 0, "t", None)
+    }
+
+    /// Sends an attempt that the broker waits 5 s for, and that may begin until `latest`.
+    fn send_text(&mut self, part: u64, number: u32, text: &str, latest: Option<Time>) -> AttemptId {
+        let (attempt, now) = ((PartId(part), number), self.net.clock.now());
+        let (query, text) = (format!("q{part}").into(), text.into());
         let until = now.after(Duration::from_secs(5));
-        let send =
-            Send { attempt, server: SERVER, query, shard: 0, idempotency: None, text, until, latest: None };
+        let send = Send { attempt, server: SERVER, query, shard: 0, idempotency: None, text, until, latest };
         self.backend.send(&mut self.net, now, send);
         attempt
     }
 
     /// Handles what the poller reports until every part's frame is written whole.
     fn write_all(&mut self) {
+        self.write_all_at(Time(0));
+    }
+
+    /// The same, with the loop's time not before this one.
+    fn write_all_at(&mut self, not_before: Time) {
         while self.backend.connections.values().any(|l| l.parts.values().any(|p| p.written.is_none())) {
             let mut ready = Vec::new();
             self.net.poll.wait(None, &mut ready).expect("polls");
             for report in ready {
-                let now = self.net.clock.now();
+                let now = self.net.clock.now().max(not_before);
                 self.backend.ready(&mut self.net, now, report.key, report.readable);
             }
         }
@@ -423,3 +432,77 @@
     assert_eq!(bench.run(1), [(PartId(1), Verdict::ConnectionLost)]);
     reader.join().expect("read");
 }
+
+/// A text that no socket's buffers hold, so that a frame that carries it stays begun until its server reads.
+const HUGE_TEXT: usize = 64 * 1024 * 1024;
+
+/// A part on a connection whose server reads nothing for now: its frame is begun, and what follows waits behind it.
+fn blocked_connection(bench: &mut Bench) -> TcpStream {
+    // However long the test takes, the connection is not held for silent, and no other one is opened.
+    bench.backend.quiet = Duration::from_secs(3600);
+    bench.send(1);
+    let (stream, _) = bench.server.accept().expect("the connection comes");
+    bench.write_all();
+    bench.send_text(2, 0, &"x".repeat(HUGE_TEXT), None);
+    let now = bench.net.clock.now();
+    bench.backend.flush(&mut bench.net, now);
+    let connection = bench.backend.connections.values().next().expect("one");
+    assert_eq!(connection.outbox.begun(), 1, "the socket holds the whole frame");
+    stream
+}
+
+/// Reads a server's end until the last of the broker's frames ends in this text. Gives what came last.
+fn read_until(stream: &mut TcpStream, end: &'static str) -> String {
+    let mut read = Vec::new();
+    while !read.ends_with(end.as_bytes()) {
+        let mut bytes = vec![0; 1024 * 1024];
+        let count = stream.read(&mut bytes).expect("the rest comes");
+        assert!(count > 0, "the connection stays");
+        read.extend_from_slice(&bytes[..count]);
+        let old = read.len().saturating_sub(256);
+        read.drain(..old);
+    }
+    String::from_utf8_lossy(&read).into_owned()
+}
+
+// What was seen: a part waited encoded behind a frame that its server did not read, for two seconds, and was then told to
+// its server with the time that it had at first. A query's time is over when its client has gone; what a server does after
+// that is for nothing, and more than 0.15 s too much breaks a rule. Why: the time left was put into the frame when it was
+// queued for the socket, and, where another part of the same call was taken back, as of the connection's last use.
+#[test]
+fn what_waits_behind_a_full_socket_is_told_the_time_that_is_left_when_it_is_written() {
+    let mut bench = bench();
+    Arc::make_mut(&mut bench.backend.settings).module.batch = 2;
+    let mut stream = blocked_connection(&mut bench);
+    let queued = bench.net.clock.now();
+    bench.send_text(3, 0, "z", None);
+    let taken_back = bench.send_text(4, 0, "z", None);
+    bench.backend.flush(&mut bench.net, queued);
+    bench.backend.take_back(queued, taken_back);
+    assert_eq!(bench.run(1), [(PartId(4), Verdict::NotSent)]);
+    let reader = std::thread::spawn(move || read_until(&mut stream, " 1\nz"));
+    let later = queued.after(Duration::from_secs(2));
+    bench.write_all_at(later);
+    let last = reader.join().expect("read");
+    let told = last.rsplit("q3.0 0 d=").next().and_then(|rest| rest.split(' ').next());
+    let told: u128 = told.and_then(|number| number.parse().ok()).unwrap_or_else(|| panic!("{last}"));
+    assert!(told <= 3000, "told {told} ms with 3 s left");
+}
+
+// The same for the window of a repeat: it was looked at when the frame was queued for the socket, and not when the
+// socket took it.
+#[test]
+fn a_repeat_whose_window_ends_behind_a_full_socket_is_not_written() {
+    let mut bench = bench();
+    let mut stream = blocked_connection(&mut bench);
+    let queued = bench.net.clock.now();
+    bench.send_text(3, 1, "t", Some(queued.after(Duration::from_secs(1))));
+    bench.send_text(4, 0, "u", None);
+    bench.backend.flush(&mut bench.net, queued);
+    let reader = std::thread::spawn(move || read_until(&mut stream, " 1\nu"));
+    bench.write_all_at(queued.after(Duration::from_secs(2)));
+    let last = reader.join().expect("read");
+    assert!(!last.contains("q3.0"), "{last}");
+    let not_sent = Done::Attempt((PartId(3), 1), Verdict::NotSent, None, LoadReport::default());
+    assert_eq!(bench.backend.done, [not_sent]);
+}
