Fleet harness: a listener that is closed refuses at once, also while a process starts

The test port::tests::a_held_port_refuses... failed in 8 of 60 runs of its crate's tests and in 17 of 60 beside the test that starts a process, in none of 60 beside any other. Cause: a process that is being started has a copy of all descriptors until it executes its program, and a closed listener of which there is a copy still takes connections. The fault proxy closes listeners in the same way while brokers start, so a server that is down could take connections for some milliseconds. The test asserts what it did.

--- a/crates/fleet/src/port.rs
+++ b/crates/fleet/src/port.rs
@@ -1,9 +1,9 @@
 //! Loopback ports that stay reserved while no process listens on them.
 
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener};
 
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 
 /// A TCP port on loopback that a socket holds without listening. Whoever sets `SO_REUSEADDR` or `SO_REUSEPORT`, as
 /// servers do, can listen there; nobody is given the port by chance.
@@ -34,9 +34,16 @@
     }
 }
 
+/// Ends a listener at once, also where a process that is being started still has a copy of its descriptor: a copy keeps
+/// a listener that is only closed alive until that process executes its program.
+pub fn stop_listening(listener: TcpListener) {
+    // One that can't be shut down listens no more.
+    let _ = SockRef::from(&listener).shutdown(Shutdown::Both);
+}
+
 #[cfg(test)]
 mod tests {
-    use std::net::{TcpListener, TcpStream};
+    use std::net::TcpStream;
 
     use super::*;
 
@@ -46,7 +53,7 @@
         assert!(TcpStream::connect(port.address()).is_err());
         let listener = TcpListener::bind(port.address()).expect("free to listen on");
         assert!(TcpStream::connect(port.address()).is_ok());
-        drop(listener);
+        stop_listening(listener);
         assert!(TcpStream::connect(port.address()).is_err());
         assert_ne!(HeldPort::new().expect("a port").address(), port.address());
     }
--- a/crates/fleet/src/proxy.rs
+++ b/crates/fleet/src/proxy.rs
@@ -14,7 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 use socket2::{Domain, SockRef, Socket, Type};
 
-use crate::port::HeldPort;
+use crate::port::{HeldPort, stop_listening};
 
 /// What a direction of a connection holds before no more is read from its sender.
 const HELD: usize = 64 * 1024;
@@ -323,6 +323,7 @@
             && let Some(listener) = listener.take()
         {
             self.poll.remove(&listener);
+            stop_listening(listener);
         }
         self.reset_all(link);
     }
