Nothing is written for a client that left while another write was held up

No caller has reported it; found while the fault of old clock readings was looked for elsewhere.

Cause: the loop looked again at clients and discovery where its step had been slow, and never between the writes that follow.

Mend: Backend::flush stops after a write that has made the loop's clock 20 ms old, and Broker::gather looks again before it goes on, at its beginning too; what is no longer wanted is taken back. It holds since nothing of what is queued has been written by then. Probes of silent connections are queued for the next flush. The library that holds a broker before writes can hold it until the test lets it go.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -592,6 +592,11 @@
         !self.events.is_empty()
     }
 
+    /// The attempts of queries that have ended since the last step, to be taken back where nothing of them was written.
+    pub fn take_back_over(&mut self) -> impl Iterator<Item = Command> + use<> {
+        std::mem::take(&mut self.over).into_iter().map(Command::TakeBack)
+    }
+
     /// Hands all that has happened to the module and gives what it wants done.
     pub fn step(&mut self, now: Time, commands: &mut Vec<Command>) {
         let mut events = std::mem::take(&mut self.events);
@@ -626,7 +631,7 @@
         for action in actions.drain(..) {
             commands.extend(self.carry_out(now, action));
         }
-        commands.extend(self.over.drain(..).map(Command::TakeBack));
+        commands.extend(self.take_back_over());
         // What was refused on the spot came in meanwhile.
         events.append(&mut self.events);
         (self.events, self.actions) = (events, actions);
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -7,6 +7,10 @@
 /// The clock's reading at the program's start: room for servers that started up to a week before.
 const START: Time = Time(7 * 86_400 * 1_000_000_000);
 
+/// What was gathered so long ago has to be gathered again before anything is sent on it: a client's end counts after
+/// 0.1 s.
+const STALE_AFTER: Duration = Duration::from_millis(20);
+
 /// A monotonic clock that knows which Unix time it started at.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -27,6 +31,11 @@
         START.after(self.start.elapsed())
     }
 
+    /// Whether a reading of this clock is so old that what was gathered then may be stale.
+    pub fn is_stale(&self, reading: Time) -> bool {
+        self.now().since(reading) >= STALE_AFTER
+    }
+
     /// Unix time of the clock's zero, in nanoseconds.
     pub fn unix_at_zero(&self) -> i64 {
         let start = i64::try_from(self.unix_at_start.as_nanos()).unwrap_or(i64::MAX);
--- a/crates/write_delay/src/lib.rs
+++ b/crates/write_delay/src/lib.rs
@@ -4,13 +4,16 @@
 //!
 //! Held up are writes by `writev` that carry a frame by which the broker gives a part up (frame `c`). The environment
 //! variable `BADGERGAUGE_WRITE_DELAY` names a file; while it holds `EVERY MILLISECONDS`, every so many-th such write is
-//! delayed by so much. Without the variable, the file or a sound text in it, writes go through unchanged.
+//! delayed by so much. With a third word, `until-released`, a file with `.waiting` at its name's end appears beside the
+//! plan meanwhile, and the delay lasts until somebody removes that file too, a minute at the most. Without the variable,
+//! the file or a sound text in it, writes go through unchanged.
 
 use std::ffi::c_int;
 use std::fs;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The environment variable that names the file with the plan.
 const PLAN_VARIABLE: &str = "BADGERGAUGE_WRITE_DELAY";
@@ -22,29 +25,59 @@
 /// Writes seen so far that give a part up.
 static GIVE_UPS: AtomicU64 = AtomicU64::new(0);
 
+/// The third word of a plan whose delays last until they are released.
+const UNTIL_RELEASED: &str = "until-released";
+/// The longest that a delay waits to be released.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+/// How often a delay looks whether it is released.
+const RELEASE_CHECK: Duration = Duration::from_millis(1);
+
 /// Which writes are delayed, and by how much.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 struct Plan {
     every: u64,
     by: Duration,
+    /// The file that is there while a delay waits to be released.
+    waiting: Option<PathBuf>,
 }
 
 impl Plan {
     /// The plan that is in force; none where no write is to be delayed.
     fn in_force() -> Option<Plan> {
-        let path = std::env::var_os(PLAN_VARIABLE)?;
-        Plan::parse(&fs::read_to_string(path).ok()?)
+        let path = PathBuf::from(std::env::var_os(PLAN_VARIABLE)?);
+        Plan::parse(&fs::read_to_string(&path).ok()?, path)
     }
 
-    fn parse(text: &str) -> Option<Plan> {
-        let (every, milliseconds) = text.trim().split_once(' ')?;
+    fn parse(text: &str, path: PathBuf) -> Option<Plan> {
+        let words: Vec<&str> = text.split_whitespace().collect();
+        let (every, milliseconds, waits) = match words[..] {
+            [every, milliseconds] => (every, milliseconds, false),
+            [every, milliseconds, UNTIL_RELEASED] => (every, milliseconds, true),
+            _ => return None,
+        };
         let every = every.parse().ok().filter(|every| *every > 0)?;
-        Some(Plan { every, by: Duration::from_millis(milliseconds.parse().ok()?) })
+        let by = Duration::from_millis(milliseconds.parse().ok()?);
+        let waiting = waits.then(|| {
+            let mut name = path.into_os_string();
+            name.push(".waiting");
+            PathBuf::from(name)
+        });
+        Some(Plan { every, by, waiting })
     }
 
     fn delays(&self, number: u64) -> bool {
         number.is_multiple_of(self.every)
     }
+
+    fn delay(&self) {
+        let Some(waiting) = &self.waiting else { return thread::sleep(self.by) };
+        let begun = Instant::now();
+        let is_marked = fs::write(waiting, "").is_ok();
+        thread::sleep(self.by);
+        while is_marked && waiting.exists() && begun.elapsed() < MAX_WAIT {
+            thread::sleep(RELEASE_CHECK);
+        }
+    }
 }
 
 /// Whether a piece that is written is a frame by which a part is given up.
@@ -60,7 +93,7 @@
     }
     let number = GIVE_UPS.fetch_add(1, Ordering::Relaxed) + 1;
     if let Some(plan) = Plan::in_force().filter(|plan| plan.delays(number)) {
-        thread::sleep(plan.by);
+        plan.delay();
     }
 }
 
@@ -97,10 +130,13 @@
 
     #[test]
     fn a_plan_is_read_and_what_is_none_delays_nothing() {
-        let plan = Plan { every: 4, by: Duration::from_millis(100) };
-        assert_eq!(Plan::parse("4 100\n"), Some(plan));
-        for text in ["", "4", "0 100", "4 x", "-1 100"] {
-            assert_eq!(Plan::parse(text), None, "{text:?}");
+        let plan = Plan { every: 4, by: Duration::from_millis(100), waiting: None };
+        let parse = |text: &str| Plan::parse(text, "p".into());
+        assert_eq!(parse("4 100\n"), Some(plan.clone()));
+        let released = Plan { waiting: Some("p.waiting".into()), ..plan.clone() };
+        assert_eq!(parse("4 100 until-released"), Some(released));
+        for text in ["", "4", "0 100", "4 x", "-1 100", "4 100 7"] {
+            assert_eq!(parse(text), None, "{text:?}");
         }
         let delayed: Vec<u64> = (1..=9).filter(|number| plan.delays(*number)).collect();
         assert_eq!(delayed, [4, 8]);
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -33,6 +33,15 @@
     Probe(ServerId, Verdict, Duration, LoadReport),
 }
 
+/// How far a call of [`Backend::flush`] came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flushed {
+    /// All was written that the sockets take.
+    All,
+    /// A write took long, and others wait.
+    HeldUp,
+}
+
 struct Server {
     address: SocketAddr,
     /// Whether it may be sent anything new.
@@ -239,11 +248,16 @@
         }
     }
 
-    /// Writes what was queued; the step's frames are complete with this.
-    pub fn flush(&mut self, net: &mut Net, now: Time) {
+    /// Writes what was queued; the step's frames are complete with this. Where a write has taken long, what is left is
+    /// written by the next call: a client may have gone meanwhile, or a server have begun to drain.
+    pub fn flush(&mut self, net: &mut Net, now: Time) -> Flushed {
         self.now = self.now.max(now);
         self.step += 1;
-        for key in std::mem::take(&mut self.unflushed) {
+        let mut unflushed = std::mem::take(&mut self.unflushed).into_iter();
+        let mut flushed = Flushed::All;
+        while flushed == Flushed::All
+            && let Some(key) = unflushed.next()
+        {
             let Some(connection) = self.connections.get_mut(&key).filter(|connection| connection.connected)
             else {
                 continue;
@@ -255,8 +269,13 @@
                 Ok(()) => self.ask(net, key, false),
                 Err(_) => self.drop_connection(net, key, ClosedBy::Peer),
             }
+            if unflushed.len() > 0 && net.clock.is_stale(now) {
+                flushed = Flushed::HeldUp;
+            }
         }
+        self.unflushed.extend(unflushed);
         self.release(net, now);
+        flushed
     }
 
     /// Attempts that were left out of what was written, as they may not begin any more.
--- a/src/backend/silence.rs
+++ b/src/backend/silence.rs
@@ -21,7 +21,7 @@
 
 impl Backend {
     /// Ends connections that have fallen silent while their servers go on answering on others: what is out on
-    /// them will never be answered, and the servers are not to be blamed.
+    /// them will never be answered, and the servers are not to be blamed. Probes go out with the next flush.
     pub fn end_silent(&mut self, net: &mut Net, now: Time) {
         self.now = self.now.max(now);
         let dead = |(key, connection): (&usize, &Connection)| {
@@ -87,7 +87,6 @@
                 connection.probed = true;
             }
         }
-        self.flush(net, now);
     }
 
     /// How often to [`Backend::look`].
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -168,6 +168,7 @@
     let now = bench.net.clock.now();
     let quiet = bench.backend.quiet;
     bench.backend.end_silent(&mut bench.net, now.after(quiet));
+    bench.backend.flush(&mut bench.net, now.after(quiet));
     assert_eq!(bench.backend.connection_count(), 2, "another connection shows whether the server is well");
     let server = bench.server.try_clone().expect("cloned");
     let answers = std::thread::spawn(move || {
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -19,7 +19,7 @@
 
 use self::discovery::take_list;
 use self::signals::SignalFlags;
-use crate::backend::{Backend, Done};
+use crate::backend::{Backend, Done, Flushed};
 use crate::config::Config;
 use crate::config::settings::SiteSettings;
 use crate::control::{Endpoint, EndpointConfig, Operations, Statistics};
@@ -56,8 +56,6 @@
 const SWEEPS: u32 = 10;
 /// And one that has not ended its first request for so long.
 const SLOW: Duration = Duration::from_millis(500);
-/// A step's commands are carried out on what was gathered no longer ago than this: a client's end counts after 0.1 s.
-const STALE: Duration = Duration::from_millis(20);
 
 /// A broker on its sockets.
 pub struct Broker {
@@ -393,9 +391,16 @@
         }
     }
 
-    /// Hands what ended at the servers to the core.
+    /// Writes what is queued for the servers, and hands what ended at them to the core.
     fn gather(&mut self, now: Time) {
-        self.backend.flush(&mut self.net, now);
+        let (mut now, mut flushed) = (now, Flushed::HeldUp);
+        while flushed == Flushed::HeldUp {
+            now = self.look_again(now);
+            for command in self.core.take_back_over() {
+                self.carry_out(now, command);
+            }
+            flushed = self.backend.flush(&mut self.net, now);
+        }
         for done in self.backend.done.drain(..) {
             match done {
                 Done::Attempt(id, verdict, value, load) => self.core.outcome(now, id, verdict, value, load),
@@ -419,13 +424,14 @@
         self.gather(now);
     }
 
-    /// What was gathered is as old as the turn has taken. Where that is long, what has come meanwhile is taken in before
-    /// anything is sent: clients that have left, servers that drain. Gives the time it is.
+    /// What was gathered is as old as the turn has taken, and the process may have been held up in it. Where that is long,
+    /// what has come meanwhile is taken in before anything is sent: clients that have left, servers that drain. Gives
+    /// the time it is.
     fn look_again(&mut self, now: Time) -> Time {
-        let later = self.net.clock.now();
-        if later.since(now) < STALE {
+        if !self.net.clock.is_stale(now) {
             return now;
         }
+        let later = self.net.clock.now();
         let mut ready = Vec::new();
         if self.net.poll.wait(Some(Duration::ZERO), &mut ready).is_ok() {
             for report in ready {
--- a/tests/crossings/main.rs
+++ b/tests/crossings/main.rs
@@ -7,6 +7,7 @@
 mod attempts;
 mod client_gone;
 mod floods;
+mod held_up;
 mod lists;
 mod settings;
 mod shutdown;
--- a/tests/crossings/stage.rs
+++ b/tests/crossings/stage.rs
@@ -402,6 +402,14 @@
     }
 }
 
+/// The library that holds a broker before writes, which Cargo builds beside the tests.
+fn write_delay() -> PathBuf {
+    let test = std::env::current_exe().expect("known");
+    let library = test.parent().expect("a folder").join("libbadgergauge_write_delay.so");
+    assert!(library.exists(), "{} was not built", library.display());
+    library
+}
+
 /// A broker with its stand-ins.
 pub struct Stage {
     dir: PathBuf,
@@ -416,6 +424,8 @@
     control_address: String,
     /// What the broker's shell is told before it starts it.
     pub limits: &'static str,
+    /// Whether writes of the broker's that give a part up can be held: see `hold_give_ups`.
+    pub holds_writes: bool,
 }
 
 impl Drop for Stage {
@@ -448,6 +458,7 @@
             is_operated: false,
             control_address: String::new(),
             limits: "",
+            holds_writes: false,
         }
     }
 
@@ -502,6 +513,9 @@
         if self.is_operated {
             command.env("BALANCER_CONTROL", "127.0.0.1:0");
         }
+        if self.holds_writes {
+            command.env("LD_PRELOAD", write_delay()).env("BADGERGAUGE_WRITE_DELAY", self.dir.join("delay"));
+        }
         let mut program = command.spawn().expect("starts");
         let log = std::io::BufReader::new(program.stderr.take().expect("piped"));
         let (sender, receiver) = channel();
@@ -597,6 +611,23 @@
         self.signal("CONT");
     }
 
+    /// Holds the broker right before its next write that gives a part up, for this long at the least.
+    pub fn hold_give_ups(&self, at_least: Duration) {
+        fs::write(self.dir.join("delay"), format!("1 {} until-released", at_least.as_millis()))
+            .expect("written");
+    }
+
+    /// Waits until the broker is held before such a write.
+    pub fn held(&self) {
+        until("no part is given up", || self.dir.join("delay.waiting").exists());
+    }
+
+    /// Lets the broker write, this time and from now on.
+    pub fn release(&self) {
+        fs::remove_file(self.dir.join("delay")).expect("there");
+        fs::remove_file(self.dir.join("delay.waiting")).expect("it was held");
+    }
+
     /// The state of each of its threads.
     fn states(&self) -> impl Iterator<Item = char> + use<> {
         let tasks = fs::read_dir(format!("/proc/{}/task", self.id())).expect("it runs");
