A rush of clients at the end of listening no longer keeps the loop for itself

Callers saw: at a planned stop, open queries failed after 3.5 s though their servers had answered, and the process ended after 4.6 s, later than it may be killed, where clients go on opening connections as fast as they are served.

Cause: Broker::stop_listening took connections until none waited, in one turn of the loop.

Mend: some are taken in each turn, and no more in all than a queue holds. It holds as a queue is first in, first out: whoever waited when listening ended is taken, and the number of turns does not hang on who comes.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,7 +10,7 @@
 use std::io;
 
 use badgergauge_poll::Poll;
-pub use badgergauge_poll::{Ready, connect, connected, datagrams, listen};
+pub use badgergauge_poll::{ACCEPT_QUEUE, Ready, connect, connected, datagrams, listen};
 
 use self::clock::Clock;
 use self::wheel::Wheel;
--- a/crates/poll/src/lib.rs
+++ b/crates/poll/src/lib.rs
@@ -113,8 +113,8 @@
     }
 }
 
-/// Connections that may wait to be accepted; the system may allow fewer.
-const ACCEPT_QUEUE: i32 = 1024;
+/// Connections that may wait to be accepted at a listener; the system may allow fewer.
+pub const ACCEPT_QUEUE: usize = 1024;
 
 /// Listens at an address. With `shared`, other sockets of this user that ask for the same may be bound there, too
 /// (SO_REUSEPORT), and the system deals new connections to all of them.
@@ -129,7 +129,7 @@
         socket.set_reuse_port(true)?;
     }
     socket.bind(&address.into())?;
-    socket.listen(ACCEPT_QUEUE)?;
+    socket.listen(ACCEPT_QUEUE as i32)?;
     socket.set_nonblocking(true)?;
     Ok(socket.into())
 }
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -80,6 +80,8 @@
     looked: Time,
     /// The listeners, by key, until SIGTERM.
     listeners: Vec<(usize, TcpListener)>,
+    /// Connections that may have been accepted at the end of listening, at each listener.
+    last_accepts: usize,
     /// Listeners on which a successor accepts in this process's place.
     released: Vec<(usize, TcpListener)>,
     /// Hand-overs, where they are on.
@@ -208,6 +210,7 @@
             watch_away: false,
             looked: now,
             listeners: Vec::new(),
+            last_accepts: 0,
             released: Vec::new(),
             upgrade,
             front,
--- a/src/broker/accept.rs
+++ b/src/broker/accept.rs
@@ -11,7 +11,7 @@
 use crate::interface::Time;
 use crate::net::client::{Client, Liveness, Phase};
 use crate::net::http::Response;
-use crate::net::listen;
+use crate::net::{ACCEPT_QUEUE, Due, listen};
 
 /// A client that has not sent anything for so long after connecting may have to make room for another.
 const SILENT: Duration = Duration::from_millis(100);
@@ -124,10 +124,14 @@
         }
     }
 
-    /// Takes those that already wait in the listener's queue, then closes it.
+    /// Takes those that already wait in the listeners' queues, then closes them: some in each turn of the loop, and no
+    /// more than a queue holds, as clients that come as fast as they are taken would keep the loop for themselves.
     pub(super) fn stop_listening(&mut self, now: Time) {
-        for key in [LISTEN, OGC_LISTEN] {
-            while self.accept(now, key) {}
+        let more = [LISTEN, OGC_LISTEN].map(|key| self.accept(now, key)).contains(&true);
+        self.last_accepts += MAX_ACCEPTS;
+        if more && self.last_accepts < ACCEPT_QUEUE {
+            self.net.wheel.arm(now, Due::StopListening);
+            return;
         }
         for (_, listener) in self.listeners.drain(..) {
             self.net.poll.remove(&listener);
--- a/tests/crossings/stage.rs
+++ b/tests/crossings/stage.rs
@@ -581,6 +581,11 @@
         self.log.as_ref().expect("started").iter().collect()
     }
 
+    /// Where it listens to clients.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
     pub fn client(&self) -> Client {
         Client::connect(&self.address)
     }
