--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -7,6 +7,8 @@
 
 /// After SIGTERM clients still come for a while; so long they are listened to.
 const LAST_LISTENING: Duration = Duration::from_millis(500);
+/// A client whose connection was just taken has so long to send its first request.
+const FIRST_REQUEST: Duration = Duration::from_millis(500);
 /// After SIGTERM a broker may go on for the longest deadline, or this, and `LAST_LISTENING` more.
 const LONGEST: Duration = Duration::from_secs(3);
 /// Queries that are taken until the last have so many of the longest aim left until then.
@@ -151,15 +153,15 @@
                 // Where that leaves no time, each answer says from now on that its connection ends.
                 let serving = whole.saturating_sub(aim.saturating_mul(LAST_AIMS));
                 let has_time = serving > LAST_LISTENING && !self.is_drained();
-                // A client that was accepted just before the hand-over still has to send its first request.
-                let least = if self.handed_over { LAST_LISTENING } else { Duration::ZERO };
-                let serving = if has_time { serving } else { least };
                 let listening = if self.handed_over { Duration::ZERO } else { LAST_LISTENING };
+                // Ended with the listening, the connections that were taken last would end before their first request.
+                let least = (listening + FIRST_REQUEST).min(whole);
+                let serving = if has_time { serving.max(least) } else { least };
                 self.listens_until = now.after(listening);
                 self.serves_until = now.after(serving);
                 self.ends_by = now.after(whole);
-                let elsewhere = self.handed_over || self.is_drained();
-                self.phase = if elsewhere { Phase::Closing } else { Phase::Stopping };
+                let stays = has_time && !self.handed_over;
+                self.phase = if stays { Phase::Stopping } else { Phase::Closing };
                 self.pass(now);
             }
             _ => return false,
--- a/src/lifecycle/tests.rs
+++ b/src/lifecycle/tests.rs
@@ -113,10 +113,26 @@
     assert!(lifecycle.stop(at(100), &classes(500, 3000)));
     assert_eq!((lifecycle.phase(), lifecycle.listens_until), (Phase::Closing, at(600)));
     assert!(!lifecycle.resume() && !lifecycle.drain(at(200)));
-    lifecycle.left(at(600), false, false, true);
+    lifecycle.left(at(1099), false, false, true);
+    assert_eq!(lifecycle.phase(), Phase::Closing, "the last that came may still ask");
+    lifecycle.left(at(1100), false, false, true);
     assert_eq!(lifecycle.phase(), Phase::Lingering);
 }
 
+// A client that was taken as the listening ended may send its first request, also where aims leave no time to serve on;
+// where deadlines leave no more than that, it has what there is.
+#[test]
+fn a_first_request_has_time_to_come_after_the_end_of_listening() {
+    for (deadline, until) in [(3000, 1000), (400, 900)] {
+        let mut lifecycle = stopped(5000, deadline);
+        assert_eq!((lifecycle.phase(), lifecycle.listens_until), (Phase::Closing, at(500)));
+        lifecycle.left(at(until - 1), false, false, true);
+        assert_eq!(lifecycle.phase(), Phase::Closing);
+        lifecycle.left(at(until), false, false, true);
+        assert_eq!(lifecycle.phase(), Phase::Lingering);
+    }
+}
+
 // A process whose successor has its listeners asks its clients to leave with each answer, and lets those that rest do so
 // as long as it has time for what they may still send.
 #[test]
--- a/tests/crossings/held_up.rs
+++ b/tests/crossings/held_up.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use serde_json::json;
+
 use crate::stage::Stage;
 
 /// An attempt for a client that has gone may begin no later than this.
@@ -13,6 +15,8 @@
 #[test]
 fn what_is_queued_behind_a_write_that_takes_long_is_not_sent_for_a_client_that_has_gone() {
     let mut stage = Stage::new("held-up", 2);
+    // However long the test is held up itself, no connection is ended for its silence.
+    stage.set_classes("aimNs", &json!(50_000_000_000_u64));
     stage.holds_writes = true;
     stage.start();
     // Both servers have a connection, and a part is out at the first.
