A class's own work no longer counts as a wait against the shortest aim of all classes

Cause: what earns less than the mean must leave queues short enough for the class with the shortest aim, and the module held a part's whole predicted time against that: own work too, and that of the same query's other parts.

Mend: the share of the shortest aim bounds the wait; the work of the query's own parts in the cell, on an idle server by the average fit, comes on top. It holds as an idle server's prediction is just that.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -21,8 +21,7 @@
 const START_SHARE: f64 = 0.1;
 /// Half-life of what was learned, in mean aims: outlasts noise; where others tell, as fast as queues empty.
 const HALF_LIFE_AIMS: [f64; 2] = [4.0, 0.4];
-/// The check then adds so many spreads for each e-fold of the parts that the query waits for: what is left
-/// unknown is each part's own luck, and the last one decides.
+/// The check then adds so many spreads for each e-fold of the parts that are waited for: the last one decides.
 const TOLD_SPREADS: f64 = 0.1;
 /// The cost is a time already and hardly tells from the intercept: its weight is held so much harder.
 const COST_HOLD: f64 = 10.0;
@@ -36,8 +35,7 @@
 const LEAST_TIME: f64 = 0.2;
 /// A class's cost is the mean of about so many outcomes.
 const COST_MEMORY: f64 = 30.0;
-/// The check adds so many spreads to the fit: about two in three parts come sooner, and early errors, which
-/// make the spread wide, don't shut out parts that idle servers would finish.
+/// The check adds so many spreads to the fit: about two in three parts come sooner.
 const CHECK_SPREADS: f64 = 0.6;
 /// An attempt is overdue after so many spreads above the fit: few sound ones are.
 const OVERDUE_SPREADS: f64 = 2.5;
@@ -373,8 +371,7 @@
         self.taken.push_back(self.now);
         let Some(class) = self.settings.classes.get(query.class) else { return };
         // Beyond its tenant's share a query is worth little. Each front node takes an even part of the quota.
-        let room = QUOTA_AIMS * self.mean_aim;
-        let bucket = self.quotas.get_mut(query.tenant);
+        let (bucket, room) = (self.quotas.get_mut(query.tenant), QUOTA_AIMS * self.mean_aim);
         let over = bucket.as_ref().is_some_and(|(rate, used)| *used + 1.0 > (rate * room).max(1.0));
         if let Some((_, used)) = bucket.filter(|_| !over) {
             *used += 1.0;
@@ -472,9 +469,7 @@
     fn age(&mut self, elapsed: f64) {
         let keep = self.keep(elapsed);
         self.pool.refit(self.now, self.fading(), &START_WEIGHTS, START_SPREAD);
-        for (rate, used) in &mut self.quotas {
-            *used = (*used - elapsed * *rate).max(0.0);
-        }
+        self.quotas.iter_mut().for_each(|(rate, used)| *used = (*used - elapsed * *rate).max(0.0));
         self.asked *= keep;
         self.cells_asked.iter_mut().flatten().for_each(|count| *count *= keep);
         self.classes.iter_mut().for_each(|class| class.asked *= keep);
@@ -570,10 +565,9 @@
         let expected = server.fit.weights.dot(&x).max(LEAST_TIME) / self.warmth(server);
         let told = Attempt { server: id, class, x, expected, ..Attempt::default() };
         self.learn(&told, verdict, took, &LoadReport::default());
-        // An own one is counted when it becomes overdue.
-        let unheard = f64::from(u8::from(verdict == Verdict::NoAnswer));
         if let Some(server) = self.servers.get_mut(&id) {
-            server.bad += unheard;
+            // An own one is counted when it becomes overdue.
+            server.bad += f64::from(u8::from(verdict == Verdict::NoAnswer));
             server.last_sent = self.now;
         }
     }
@@ -846,9 +840,9 @@
         let mut reachable = held + out;
         // A part that the budget won't let go out again is lost: better that the client comes back at once.
         let mut further = self.further_left();
-        // What is out runs on after a refusal, and the client's next try is sent whole: while any part is out
-        // or served, one without a place waits for one. Costs an earlier refusal, where none comes in time.
+        // What is out runs on after a refusal: while any part is out or served, one without a place waits for one.
         let begun = query.parts.iter().any(|part| part.served || !part.live.is_empty());
+        let cost = self.classes[query.class].cost;
         let mut waits = false;
         for index in waiting {
             let again = usize::from(query.parts[index].attempts > 0);
@@ -857,9 +851,15 @@
                 continue;
             }
             let patience = self.patience(query, index, reachable);
-            // What earns under the mean must leave queues short enough for the class with the shortest aim.
+            // What earns under the mean must leave queues short for the class with the shortest aim. That bounds
+            // its wait, and not the work of its own query's parts, which its cell's servers have when idle too.
             let far = patience < 1.0 && allowed > self.shortest * (1.0 + START_SPREAD);
-            let allowed = if far { self.shortest } else { allowed } * patience;
+            let cell = |part: &PartState| part.shard.0 % self.settings.cells;
+            let same = query.parts.iter().filter(|p| cell(p) == cell(&query.parts[index])).count();
+            let own = Features::new(1.0, cost, cost * (same as f64 - 1.0), 0.0, 0.0);
+            let own = self.pool.weights.dot(&own).max(LEAST_TIME) * (1.0 + START_SPREAD);
+            let short = (self.shortest * patience + own).min(allowed);
+            let allowed = if far { short } else { allowed * patience };
             let choice = self.choose(query, &query.parts[index], allowed);
             query.parts[index].missing = choice.as_ref().err().copied().unwrap_or(Missing::Held);
             if begun && query.parts[index].missing == Missing::Late {
@@ -972,8 +972,7 @@
         if warmth < 1.0 {
             server.cold_sends.push_back((now, work * self.unit));
         }
-        // Guards against connections dropped unseen while idle, where a send gets no answer. Costs the part's
-        // time where handshakes fail: then they are kept.
+        // Guards against connections dropped unseen while idle; where fresh ones fail, they are kept.
         let idle = before == 0.0 && !self.out.contains_key(&id) && server.last_used < idle_since;
         // A bad end costs about half a part, as another try serves most.
         let renew = self.ends[1] + 2.0 * self.settings.handshake_price < self.ends[0];
@@ -1030,8 +1029,9 @@
             self.watch_at = None;
             actions.push(Action::WatchServers);
         }
-        let idle = self.queries.is_empty() && self.watch_at.is_none();
-        if idle || self.timer_at.is_some_and(|at| at > self.now) {
+        if self.timer_at.is_some_and(|at| at > self.now)
+            || (self.queries.is_empty() && self.watch_at.is_none())
+        {
             return;
         }
         let at = self.now.after(self.settings.tick.saturating_mul(LOOK_TICKS));
