--- a/src/backend/silence.rs
+++ b/src/backend/silence.rs
@@ -89,7 +89,7 @@
         }
     }
 
-    /// How often to [`Backend::look`].
+    /// How often to call [`Backend::end_silent`].
     pub fn silence_check_interval(&self) -> Duration {
         self.quiet / 2
     }
