A connection is held for dead by the aims of its own parts, not by the shortest of all classes

What callers saw: a part that takes long by the shortest aim was lost as soon as its server served another class over another connection; a safe part was sent again and lost again, and of an unsafe class the query failed.

Cause: a connection was in doubt after a sixth, and dead after half of the shortest aim of all classes, if its server had answered elsewhere what came later. A server at work on a part says nothing on that connection meanwhile.

Mend: `core::Send` carries its class's aim, each part on a connection how long its silence may last, and doubt and end go by the parts that are out. It holds as no figure of another class enters.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -98,6 +98,8 @@
     pub idempotency: Option<Arc<str>>,
     /// What the part carries.
     pub text: Arc<str>,
+    /// Its class's aim.
+    pub aim: Duration,
     /// When the broker stops waiting.
     pub until: Time,
     /// After this it may not begin any more: the window in which a repeat is dropped is over.
@@ -703,6 +705,7 @@
             shard: open.parts[entry.index].shard,
             idempotency: open.idempotency.clone(),
             text: open.text.clone(),
+            aim: self.settings.module.classes[class].aim,
             until: now.after(time_out).min(open.ends_at),
             latest,
         }))
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -65,8 +65,8 @@
 pub struct Backend {
     settings: Arc<SiteSettings>,
     most: usize,
-    /// A connection that has said nothing for so long, with parts out on it, is in doubt.
-    quiet: Duration,
+    /// No connection is in doubt that has said something so short a time ago, whatever class waits on it.
+    least_quiet: Duration,
     servers: HashMap<ServerId, Server>,
     connections: HashMap<usize, Connection>,
     /// Which connection answers for an attempt.
@@ -98,7 +98,7 @@
     pub fn new(settings: Arc<SiteSettings>, most: usize) -> Self {
         let aim = settings.module.shortest_aim();
         Backend {
-            quiet: aim / QUIET_PART,
+            least_quiet: aim / QUIET_PART,
             setup: SetupTime::for_aim(aim, settings.connect_time_out),
             settings,
             most,
@@ -166,14 +166,14 @@
             self.done.push(Done::Attempt(send.attempt, Verdict::NoConnection, None, LoadReport::default()));
             return;
         };
-        let (attempt, step) = (send.attempt, self.step);
+        let (attempt, quiet, step) = (send.attempt, send.aim / QUIET_PART, self.step);
         if attempt.1 > 0 && tracing::enabled!(tracing::Level::DEBUG) {
             self.log_repeat(now, &name, key);
         }
         let Some(connection) = self.connections.get_mut(&key) else { return };
         connection
             .parts
-            .insert(name.clone(), CarriedPart { attempt, written: None, abandoned: None, told: None });
+            .insert(name.clone(), CarriedPart { attempt, quiet, written: None, abandoned: None, told: None });
         self.attempts.insert(attempt, key);
         let batch = self.settings.module.batch as usize;
         match connection.waiting.back_mut() {
@@ -338,7 +338,7 @@
 
     /// How long a frame that was begun may take to be whole.
     fn stall(&self) -> Duration {
-        self.settings.connect_time_out.min(self.quiet * 2)
+        self.settings.connect_time_out.min(self.least_quiet * 2)
     }
 
     /// A frame that was begun should be whole by now: a server writes each at once, so one that stays
--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use super::frame::{Frame, MAX_FRAME, encode, without};
+use super::silence::DEAD_AFTER;
 use crate::config::settings::SiteSettings;
 use crate::core::AttemptId;
 use crate::interface::{ServerId, Time};
@@ -19,6 +20,9 @@
 /// A part that a connection answers for.
 pub(super) struct CarriedPart {
     pub(super) attempt: AttemptId,
+    /// Its connection is in doubt once nothing has come for so long: by the aim of its own class, as a server may work
+    /// on a part of one class for longer than another one's aim.
+    pub(super) quiet: Duration,
     /// When its frame's last byte was written: from here on it may run.
     pub(super) written: Option<Time>,
     /// When it was given up: nobody waits for it any more, but its answer may still come.
@@ -107,17 +111,28 @@
         self.parts.values().filter(|part| part.abandoned.is_none()).count()
     }
 
-    /// Since when nothing has come, though parts are out that someone waits for.
-    pub(super) fn silent_since(&self) -> Option<Time> {
+    /// For each part that is out and waited for: since when nothing has come, and how long that may last.
+    fn silences(&self) -> impl Iterator<Item = (Time, Duration)> {
         let waited = self.parts.values().filter(|part| part.abandoned.is_none());
-        Some(waited.filter_map(|part| part.written).min()?.max(self.heard))
+        waited.filter_map(|part| Some((part.written?.max(self.heard), part.quiet)))
+    }
+
+    /// Whether nothing has come for too long for one of the parts that are out.
+    pub(super) fn is_silent(&self, now: Time) -> bool {
+        self.silences().any(|(since, quiet)| now.since(since) >= quiet)
     }
 
     /// Whether it may have fallen silent for good. Silence counts from the last word or later, so the parts that are
     /// out are looked through only where that word is old.
-    pub(super) fn is_doubted(&self, now: Time, quiet: Duration) -> bool {
-        let is_silent = || self.silent_since().is_some_and(|since| now.since(since) >= quiet);
-        self.doubted || (now.since(self.heard) >= quiet && is_silent())
+    pub(super) fn is_doubted(&self, now: Time, least_quiet: Duration) -> bool {
+        self.doubted || (now.since(self.heard) >= least_quiet && self.is_silent(now))
+    }
+
+    /// Whether it has stayed silent while its server answered on another one what was written later. `answered` is when
+    /// the youngest part that the server has answered was written.
+    pub(super) fn is_dead(&self, now: Time, answered: Time) -> bool {
+        self.silences()
+            .any(|(since, quiet)| now.since(since) >= quiet * DEAD_AFTER && answered > since.after(quiet))
     }
 
     /// Writes what the socket takes. `now` is the loop's reading of the clock, and may be old: what holds from the
--- a/src/backend/give_up.rs
+++ b/src/backend/give_up.rs
@@ -36,7 +36,7 @@
         };
         part.abandoned = Some(now);
         let since = part.written.unwrap_or(now).max(connection.heard);
-        connection.doubted |= now.since(since) >= self.quiet;
+        connection.doubted |= now.since(since) >= part.quiet;
         connection.waiting.push_back(Frame::Cancel(name.clone()));
         let name = name.clone();
         self.unflushed.push(key);
--- a/src/backend/selection.rs
+++ b/src/backend/selection.rs
@@ -54,7 +54,7 @@
         };
         let fit: Vec<usize> = server.connections.iter().filter(fits).copied().collect();
         let (doubted, sound): (Vec<usize>, Vec<usize>) = fit.into_iter().partition(|key| {
-            self.connections.get(key).is_some_and(|connection| connection.is_doubted(now, self.quiet))
+            self.connections.get(key).is_some_and(|connection| connection.is_doubted(now, self.least_quiet))
         });
         // What one step sends to one server shares calls, and so a connection.
         let joins =
--- a/src/backend/silence.rs
+++ b/src/backend/silence.rs
@@ -9,7 +9,7 @@
 use crate::interface::Time;
 use crate::net::Net;
 
-/// A connection that has parts out and says nothing for this part of the shortest aim is in doubt.
+/// A connection that says nothing for this part of the aim of a part's class, while that part is out on it, is in doubt.
 pub(super) const QUIET_PART: u32 = 6;
 /// One that stays silent for so many times that, while its server answers on another what came later, is dead.
 pub(super) const DEAD_AFTER: u32 = 3;
@@ -25,10 +25,8 @@
     pub fn end_silent(&mut self, net: &mut Net, now: Time) {
         self.now = self.now.max(now);
         let dead = |(key, connection): (&usize, &Connection)| {
-            let since = connection.silent_since()?;
             let answered = self.servers.get(&connection.server)?.answered;
-            (now.since(since) >= self.quiet * DEAD_AFTER && answered > since.after(self.quiet))
-                .then_some(*key)
+            connection.is_dead(now, answered).then_some(*key)
         };
         for key in self.connections.iter().filter_map(dead).collect::<Vec<_>>() {
             tracing::warn!("a connection to a server that answers has fallen silent: it ends");
@@ -50,8 +48,8 @@
         let price = 2.0 * self.settings.probe_price + self.settings.module.handshake_price;
         let silent = |(key, connection): (&usize, &Connection)| {
             let worth = dead * connection.waited_for() as f64 >= price;
-            let quiet = connection.silent_since().is_some_and(|since| now.since(since) >= self.quiet);
-            (quiet && worth && !connection.probed).then_some((*key, connection.server))
+            let probes = worth && !connection.probed && connection.is_silent(now);
+            probes.then_some((*key, connection.server))
         };
         if !self.settings.module.may_probe {
             return;
@@ -61,7 +59,7 @@
                 let connection = self.connections.get(other);
                 **other != key
                     && connection.is_some_and(|connection| {
-                        !connection.retired && !connection.is_doubted(now, self.quiet)
+                        !connection.retired && !connection.is_doubted(now, self.least_quiet)
                     })
             };
             let of = self.servers.get(&server).filter(|of| of.open);
@@ -91,6 +89,6 @@
 
     /// How often to call [`Backend::end_silent`].
     pub fn silence_check_interval(&self) -> Duration {
-        self.quiet / 2
+        self.least_quiet / 2
     }
 }
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -10,6 +10,8 @@
     backend: Backend,
     net: Net,
     server: TcpListener,
+    /// The aim of what is sent.
+    aim: Duration,
 }
 
 const SERVER: ServerId = ServerId(7);
@@ -19,9 +21,10 @@
     let config: serde_json::Value = serde_json::from_str(config).expect("JSON");
     let settings = SiteSettings::read(&config["settings"]).expect("sound");
     let server = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let aim = settings.module.shortest_aim();
     let mut backend = Backend::new(Arc::new(settings), 10);
     backend.open(SERVER, server.local_addr().expect("bound"));
-    Bench { backend, net: Net::new(Clock::start()).expect("a poller"), server }
+    Bench { backend, net: Net::new(Clock::start()).expect("a poller"), server, aim }
 }
 
 impl Bench {
@@ -34,7 +37,8 @@
         let (attempt, now) = ((PartId(part), number), self.net.clock.now());
         let (query, text) = (format!("q{part}").into(), text.into());
         let until = now.after(Duration::from_secs(5));
-        let send = Send { attempt, server: SERVER, query, shard: 0, idempotency: None, text, until, latest };
+        let (aim, idempotency) = (self.aim, None);
+        let send = Send { attempt, server: SERVER, query, shard: 0, idempotency, text, aim, until, latest };
         self.backend.send(&mut self.net, now, send);
         attempt
     }
@@ -166,7 +170,7 @@
     bench.write_all();
     let (mut first, _) = bench.server.accept().expect("connected");
     let now = bench.net.clock.now();
-    let quiet = bench.backend.quiet;
+    let quiet = bench.backend.least_quiet;
     bench.backend.end_silent(&mut bench.net, now.after(quiet));
     bench.backend.flush(&mut bench.net, now.after(quiet));
     assert_eq!(bench.backend.connection_count(), 2, "another connection shows whether the server is well");
@@ -270,8 +274,17 @@
             let (query, text) = (format!("q{part}").into(), "t".into());
             let until = now.after(until);
             let attempt = (PartId(part), 0);
-            let send =
-                Send { attempt, server, query, shard: 0, idempotency: None, text, until, latest: None };
+            let send = Send {
+                attempt,
+                server,
+                query,
+                shard: 0,
+                idempotency: None,
+                text,
+                aim: bench.aim,
+                until,
+                latest: None,
+            };
             bench.backend.send(&mut bench.net, now, send);
         }
         bench.write_all();
@@ -391,7 +404,8 @@
     let (attempt, until) = ((PartId(2), 1), old.after(Duration::from_secs(5)));
     let latest = Some(window_ends);
     let (query, text) = ("q2".into(), "t".into());
-    let repeat = Send { attempt, server: SERVER, query, shard: 0, idempotency: None, text, until, latest };
+    let (aim, idempotency) = (bench.aim, None);
+    let repeat = Send { attempt, server: SERVER, query, shard: 0, idempotency, text, aim, until, latest };
     bench.backend.send(&mut bench.net, old, repeat);
     bench.backend.flush(&mut bench.net, old);
     bench.write_all();
@@ -440,7 +454,7 @@
 /// A part on a connection whose server reads nothing for now: its frame is begun, and what follows waits behind it.
 fn blocked_connection(bench: &mut Bench) -> TcpStream {
     // However long the test takes, the connection is not held for silent, and no other one is opened.
-    bench.backend.quiet = Duration::from_secs(3600);
+    bench.aim = Duration::from_secs(3600);
     bench.send(1);
     let (stream, _) = bench.server.accept().expect("the connection comes");
     bench.write_all();
--- a/tests/crossings/attempts.rs
+++ b/tests/crossings/attempts.rs
@@ -1,8 +1,10 @@
 //! Attempts at parts: repeats and their window, resets under them, answers that are cut, come late or never end.
 
+use std::time::{Duration, Instant};
+
 use serde_json::json;
 
-use crate::stage::{Stage, delivered};
+use crate::stage::{Stage, delivered, until};
 
 // A part of a keyed class is lost, and the connection for its repeat comes up only after the window in which servers
 // drop a repeat is over: the repeat is never written, and the query fails.
@@ -162,3 +164,42 @@
         assert_eq!(client.status(), 200);
     }
 }
+
+// What was seen: of two classes, the one whose parts take long lost them as soon as the other one was served by the same
+// server. Why: a connection that said nothing for a sixth of the shortest aim of all classes was in doubt, and for half of
+// that aim held for dead if its server answered elsewhere what came later. The server was at work on a part of a class that
+// has an aim of its own; a part of an unsafe class would have failed its query.
+#[test]
+fn a_part_that_takes_long_by_another_classs_aim_is_waited_for() {
+    let mut stage = Stage::new("long", 1);
+    let short_aim = Duration::from_secs(2);
+    stage.set_classes("aimNs", &json!(short_aim.as_nanos() as u64));
+    stage.set("/settings/profiles/1/aimNs", json!(50_000_000_000_u64));
+    stage.start();
+    // The module learns that parts of both take little, so that one does not wait for the other to end.
+    let mut waits = stage.client();
+    waits.ask("flag", "quick", 0);
+    let mut first = stage.tiles[0].accept();
+    assert_eq!(first.part(), "quick.0");
+    first.serve("quick.0", "v");
+    assert_eq!(waits.status(), 200);
+    waits.ask("flag", "long", 0);
+    assert_eq!(first.part(), "long.0");
+    let begun = Instant::now();
+    until("time stands still", || begun.elapsed() > short_aim / 2);
+    let mut other = stage.client();
+    other.ask("search", "short", 0);
+    // It comes over the same connection, or over another one.
+    let mut second = None;
+    until("the part does not come", || {
+        second = stage.tiles[0].try_accept();
+        second.is_some() || first.has_come()
+    });
+    let serving = second.as_mut().unwrap_or(&mut first);
+    assert_eq!(serving.part(), "short.0");
+    serving.serve("short.0", "v");
+    assert_eq!(other.status(), 200);
+    until("time stands still", || begun.elapsed() > short_aim * 2);
+    first.serve("long.0", "v");
+    assert_eq!(waits.status(), 200);
+}
--- a/tests/crossings/stage.rs
+++ b/tests/crossings/stage.rs
@@ -122,7 +122,7 @@
     }
 
     /// A connection that has come, if there is one.
-    fn try_accept(&self) -> Option<Link> {
+    pub fn try_accept(&self) -> Option<Link> {
         self.listener.set_nonblocking(true).expect("set");
         let stream = TcpStream::from(self.listener.accept().ok()?.0);
         stream.set_nonblocking(false).expect("set");
@@ -163,6 +163,14 @@
         }
     }
 
+    /// Whether anything has come that was not read, without waiting.
+    pub fn has_come(&self) -> bool {
+        self.stream.set_nonblocking(true).expect("set");
+        let peeked = self.stream.peek(&mut [0; 1]);
+        self.stream.set_nonblocking(false).expect("set");
+        peeked.is_ok_and(|count| count > 0)
+    }
+
     fn any_frame(&mut self) -> String {
         loop {
             if let Some((head, rest)) = self.bytes.split_first_chunk::<4>() {
