A client refused for want of room is told when to come back

What callers saw: with as many queries open as `limits.maxOpen` allows, a 503 carried no `Retry-After`, though the settings allow one, so a client that repeats at once came back at once.

Cause: only refusals by the module carried its time to stay away, and these are made before it is asked.

Mend: `NotTaken::Full` carries the same time as the module's refusals of that class, within the settings' most, and none where the settings allow none. It holds as both take the one constant.

Test: crossings client_gone::a_client_refused_for_want_of_room_is_told_when_to_come_back, red before (no header).

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -7,9 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::decide::Router;
 use crate::decide::snapshot::budgets::Spending;
 use crate::decide::snapshot::{Snapshot, SnapshotError};
+use crate::decide::{HOLD_OFF_SHARE, Router};
 use crate::interface::*;
 use crate::settings::SiteSettings;
 use crate::word::{self, Sighting, Word, short};
@@ -56,7 +56,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NotTaken {
     /// As many queries and parts are open as may be.
-    Full,
+    Full {
+        /// How long the client should stay away; zero where clients are told no such time.
+        hold_off: Duration,
+    },
     /// A query of this name is open.
     NameInUse,
 }
@@ -351,6 +354,12 @@
         }
     }
 
+    /// How long a client stays away that is refused before anything was decided: as long as the module says.
+    fn hold_off(&self, class: usize) -> Duration {
+        let module = &self.settings.module;
+        module.classes[class].aim.mul_f64(HOLD_OFF_SHARE).min(module.max_hold_off)
+    }
+
     /// Takes a query: from here on it is owed exactly one final answer.
     ///
     /// # Errors
@@ -358,7 +367,7 @@
     /// When it is not taken.
     pub fn take(&mut self, now: Time, query: NewQuery, ticket: Ticket) -> Result<QueryId, NotTaken> {
         let why = if self.queries.len() + self.parts.len() >= self.settings.max_open {
-            Some(NotTaken::Full)
+            Some(NotTaken::Full { hold_off: self.hold_off(query.class) })
         } else {
             self.names.contains_key(query.name.as_str()).then_some(NotTaken::NameInUse)
         };
--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -60,7 +60,7 @@
 /// Weight of each end in these shares: two failures in a row tell.
 const END_WEIGHT: f64 = 0.1;
 /// A refused client is asked to stay away for this share of its class's aim.
-const HOLD_OFF_SHARE: f64 = 0.15;
+pub(crate) const HOLD_OFF_SHARE: f64 = 0.15;
 /// A part's share of the time left shrinks with this power of its worth per work; harder where others tell.
 const WORTH_POWER: [f64; 2] = [0.35, 0.5];
 /// Least such share, so that an idle server serves anything, and most: where the fit without spread passes.
--- a/crates/trace/src/record.rs
+++ b/crates/trace/src/record.rs
@@ -141,7 +141,7 @@
     let not_taken = |(class, why): (usize, core::NotTaken)| NotTaken {
         class,
         why: match why {
-            core::NotTaken::Full => Why::Full,
+            core::NotTaken::Full { .. } => Why::Full,
             core::NotTaken::NameInUse => Why::NameInUse,
         },
     };
--- a/src/broker/clients.rs
+++ b/src/broker/clients.rs
@@ -109,7 +109,7 @@
                     }
                     Err(why) => {
                         let outcome = match why {
-                            NotTaken::Full => Outcome::Throttled,
+                            NotTaken::Full { .. } => Outcome::Throttled,
                             NotTaken::NameInUse => Outcome::Faulted,
                         };
                         self.operations.statistics().request_ended(pending.class, outcome);
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -4,7 +4,6 @@
 pub mod platform;
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use crate::config::ogc::Ogc;
 use crate::config::settings::SiteSettings;
@@ -88,8 +87,9 @@
     /// The answer to a request that the core did not take.
     pub fn not_taken(&self, pending: &Pending, why: NotTaken) -> Response {
         match (&pending.origin, why) {
-            (Origin::Ogc(_), _) => ogc::refusal(0.0),
-            (Origin::Platform, NotTaken::Full) => platform::refusal(Duration::ZERO),
+            (Origin::Ogc(_), NotTaken::Full { hold_off }) => ogc::refusal(hold_off.as_secs_f64()),
+            (Origin::Ogc(_), NotTaken::NameInUse) => ogc::refusal(0.0),
+            (Origin::Platform, NotTaken::Full { hold_off }) => platform::refusal(hold_off),
             (Origin::Platform, NotTaken::NameInUse) => Response::text(409, "X-Request-ID: is in use"),
         }
     }
--- a/tests/crossings/client_gone.rs
+++ b/tests/crossings/client_gone.rs
@@ -150,3 +150,29 @@
     next.ask("search", "next", 0);
     assert_eq!(stage.tiles[0].accept().part(), "next.0");
 }
+
+// What was seen: a client refused for want of room got no `Retry-After`, though the settings allow one of up to 2 s, and came
+// back at once, again and again. Why: only refusals by the module carried its time to stay away; these are made before it
+// is asked.
+#[test]
+fn a_client_refused_for_want_of_room_is_told_when_to_come_back() {
+    for (allowed, expected) in [(true, Some("Retry-After: 0.300")), (false, None)] {
+        let mut stage = Stage::new("full", 1);
+        stage.set("/settings/limits/maxOpen", json!(2));
+        stage.set("/settings/limits/retryAfter", json!(allowed));
+        stage.set("/settings/limits/maxRetryAfterNs", json!(2_000_000_000_u64));
+        stage.set_classes("aimNs", &json!(2_000_000_000_u64));
+        stage.start();
+        let mut first = stage.client();
+        first.ask("search", "first", 0);
+        let mut tile = stage.tiles[0].accept();
+        assert_eq!(tile.part(), "first.0");
+        let mut refused = stage.client();
+        refused.ask("search", "refused", 0);
+        let (head, _) = refused.answer();
+        assert!(head.starts_with("HTTP/1.1 503 "), "{head}");
+        assert_eq!(head.lines().find(|line| line.starts_with("Retry-After")), expected, "{head}");
+        tile.serve("first.0", "v");
+        assert_eq!(first.status(), 200);
+    }
+}
