A connection ends whose server reads nothing more of a frame that was begun

What callers saw: a part whose frame filled the socket of a server that had stopped reading held its query until its time was up; given up, it waited as well.

Cause: a frame that is partly written can't be taken back, and the word that its part is over waits behind it.

Mend: a connection remembers since when its server has read nothing of a begun frame, and ends after half of the longest aim among its parts, if nothing was heard meanwhile. What was not written whole did not begin. It holds as every write that gets on, and every word from the server, counts anew.

Tests: src/backend/tests.rs, one red before; one for a server that reads slowly.

--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -46,6 +46,8 @@
     pub(super) bytes: Vec<u8>,
     /// Since when a frame is begun and not whole.
     pub(super) begun: Option<Time>,
+    /// Since when its server has read nothing of a frame that is partly written.
+    blocked: Option<Time>,
     /// The part that was answered last, whose answer may come twice.
     pub(super) answered: String,
     /// Parts by their id on the wire, which recurs over a part's attempts.
@@ -83,6 +85,7 @@
             outbox: Outbox::default(),
             bytes: Vec::new(),
             begun: None,
+            blocked: None,
             answered: String::new(),
             parts: HashMap::new(),
             probes: VecDeque::new(),
@@ -135,6 +138,16 @@
             .any(|(since, quiet)| now.since(since) >= quiet * DEAD_AFTER && answered > since.after(quiet))
     }
 
+    /// Whether its server has neither read more of a frame that is partly written nor said anything for long, by the
+    /// classes of all parts on it. Such a frame can't be taken back: its parts get their outcome by the connection's end
+    /// alone, and did not begin.
+    pub(super) fn is_blocked(&self, now: Time) -> bool {
+        let longest_quiet = self.parts.values().map(|part| part.quiet).max();
+        self.blocked
+            .zip(longest_quiet)
+            .is_some_and(|(since, quiet)| now.since(since.max(self.heard)) >= quiet * DEAD_AFTER)
+    }
+
     /// Writes what the socket takes. `now` is the loop's reading of the clock, and may be old: what holds from the
     /// moment of a write is measured here, on both sides of it.
     pub(super) fn write(&mut self, now: Time, clock: &Clock, settings: &SiteSettings) -> io::Result<()> {
@@ -154,10 +167,14 @@
                 return Ok(());
             }
             let before = self.outbox.finished();
+            let held = self.outbox.held();
             let result = self.outbox.flush(&mut self.stream);
             // The process may have been held up before the write: only now is it known to have happened. A server
             // that was told of a give-up by an earlier reading would seem to have had its time to read it.
             let written = now.max(clock.now());
+            let has_begun = self.outbox.begun() > 0;
+            let progressed = self.outbox.held() < held;
+            self.blocked = has_begun.then(|| self.blocked.filter(|_| !progressed).unwrap_or(written));
             for _ in before..self.outbox.finished() {
                 self.last_used = written;
                 match self.encoded.pop_front() {
--- a/src/backend/silence.rs
+++ b/src/backend/silence.rs
@@ -1,5 +1,5 @@
 //! Connections that have fallen silent: probed beside another one to the same server, and ended where that one alone is
-//! answered.
+//! answered, or where a frame is begun of which the server reads nothing more.
 
 use std::time::Duration;
 
@@ -34,9 +34,20 @@
                 f64::from(u8::from(self.connections.get(&key).is_some_and(|connection| connection.probed)));
             self.drop_connection(net, key, ClosedBy::Broker);
         }
+        self.end_blocked(net, now);
         self.probe_silent_connections(net, now);
     }
 
+    /// Ends connections whose servers read nothing more of a frame that was begun: a part in it would wait until its query
+    /// ends, given up or not, as the word that it is over waits behind it.
+    fn end_blocked(&mut self, net: &mut Net, now: Time) {
+        let blocked = self.connections.iter().filter(|(_, connection)| connection.is_blocked(now));
+        for key in blocked.map(|(key, _)| *key).collect::<Vec<_>>() {
+            tracing::warn!("a server reads nothing more of what was begun: its connection ends");
+            self.drop_connection(net, key, ClosedBy::Broker);
+        }
+    }
+
     /// Probes connections that have fallen silent, and their servers on another connection: a server that answers
     /// there alone is well, and the connection is dead. Guards against parts that wait for nothing where nobody shows
     /// it: the module sends nothing more to a server that it takes for a slow one. A server that is merely busy answers
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -521,3 +521,53 @@
     let not_sent = Done::Attempt((PartId(3), 1), Verdict::NotSent, None, LoadReport::default());
     assert_eq!(bench.backend.done, [not_sent]);
 }
+
+/// Attempts that have ended, without probes.
+fn attempts_done(bench: &Bench) -> Vec<(PartId, Verdict)> {
+    let attempt = |done: &Done| match done {
+        Done::Attempt((part, _), verdict, ..) => Some((*part, *verdict)),
+        Done::Probe(..) => None,
+    };
+    bench.backend.done.iter().filter_map(attempt).collect()
+}
+
+// What was seen: a part whose frame was begun, and of which its server read nothing more, waited until its query ended, and so
+// did its client; given up, it waited as well. Why: a frame that is partly written can't be taken back, and the word that
+// its part is given up waits behind it. Only the connection's end tells that the part will never begin.
+#[test]
+fn a_part_whose_frame_is_begun_and_not_read_is_free_to_go_elsewhere() {
+    let mut bench = bench();
+    let stream = blocked_connection(&mut bench);
+    let blocked = bench.net.clock.now();
+    let limit = bench.aim / QUIET_PART * DEAD_AFTER;
+    bench.backend.end_silent(&mut bench.net, blocked.after(limit / 2));
+    bench.backend.flush(&mut bench.net, blocked);
+    assert_eq!(attempts_done(&bench), [], "its server may still read on");
+    bench.backend.end_silent(&mut bench.net, blocked.after(limit));
+    assert_eq!(attempts_done(&bench), [(PartId(2), Verdict::NoConnection)]);
+    drop(stream);
+}
+
+// A server that reads slowly is waited for, however long it takes: each time that it has read something counts anew.
+#[test]
+fn a_frame_of_which_a_server_reads_more_is_waited_for() {
+    let mut bench = bench();
+    let mut stream = blocked_connection(&mut bench);
+    let limit = bench.aim / QUIET_PART * DEAD_AFTER;
+    let mut now = bench.net.clock.now();
+    let mut piece = vec![0; 1024 * 1024];
+    let held = |bench: &Bench| bench.backend.connections.values().map(|c| c.outbox.held()).sum::<usize>();
+    for _ in 0..3 {
+        now = now.after(limit * 2 / 3);
+        let before = held(&bench);
+        while held(&bench) == before {
+            assert!(stream.read(&mut piece).expect("more comes") > 0, "the connection stays");
+            // A probe may have opened another connection beside it.
+            for key in bench.backend.connections.keys().copied().collect::<Vec<_>>() {
+                bench.backend.ready(&mut bench.net, now, key, false);
+            }
+        }
+        bench.backend.end_silent(&mut bench.net, now.after(limit / 2));
+        assert_eq!(attempts_done(&bench), []);
+    }
+}
