A third process leaves the path where processes meet to the one that takes over

What callers saw: after an upgrade in which a third process was started, the next upgrade found nobody to take over from, and what waited in the queue of the process that had taken over was lost to its end.

Cause: a process that is refused as `Busy` replaced the socket at that path once it was ready, though another one listened.

Mend: it connects first, and leaves the path alone where somebody listens, with a line in the log that says what to do. It holds as the path then changes hands with the sockets alone, or after its process has ended.

Tests: upgrade failures::a_third_process_leaves_the_path_to_the_one_that_takes_over, red before; one for the path alone.

--- a/crates/handover/src/rendezvous.rs
+++ b/crates/handover/src/rendezvous.rs
@@ -20,6 +20,11 @@
     /// The path is taken by something that is no socket.
     #[error("{0}: is there and is no socket: move it away, or give another $TMPDIR")]
     Foreign(PathBuf),
+    /// Another process of this broker listens there.
+    #[error(
+        "{0}: another process of this broker waits there: end this one, start it again after the upgrade"
+    )]
+    InUse(PathBuf),
     /// The system refused it.
     #[error("{path}: {source}: $TMPDIR has to be a folder that this user can write, with a short path")]
     Io {
@@ -69,7 +74,21 @@
         }
     }
 
-    /// Listens for a successor. A socket that a process of before has left is replaced.
+    /// Listens for a successor where no other process does: for one that has been refused, as another one takes over. A
+    /// socket that a process of before has left is replaced.
+    ///
+    /// # Errors
+    ///
+    /// When another process listens there, or the path can't be used.
+    pub fn listen_if_free(&self) -> Result<UnixListener, RendezvousError> {
+        match UnixStream::connect(&self.path) {
+            Ok(_) => Err(RendezvousError::InUse(self.path.clone())),
+            Err(_) => self.listen(),
+        }
+    }
+
+    /// Listens for a successor. A socket that is there is replaced, whether its process still listens or has left it:
+    /// this one has taken over from it.
     ///
     /// # Errors
     ///
--- a/crates/handover/tests/rendezvous.rs
+++ b/crates/handover/tests/rendezvous.rs
@@ -141,3 +141,14 @@
         );
     }
 }
+
+#[test]
+fn one_that_was_refused_leaves_the_path_to_a_process_that_listens() {
+    let folder = Folder::new("in-use");
+    let rendezvous = rendezvous(&folder.0);
+    let listener = rendezvous.listen_if_free().expect("nothing is there");
+    let result = rendezvous.listen_if_free();
+    assert!(matches!(&result, Err(RendezvousError::InUse(path)) if path == rendezvous.path()), "{result:?}");
+    drop(listener);
+    let _listener = rendezvous.listen_if_free().expect("its process has left it");
+}
--- a/src/upgrade.rs
+++ b/src/upgrade.rs
@@ -41,6 +41,8 @@
     request: Request,
     listener: Option<UnixListener>,
     successor: Successor,
+    /// Another process takes over from the predecessor: what waits for successors is that one's.
+    refused_as_busy: bool,
     to_predecessor: Option<Channel>,
     /// What the predecessor gave and has not been taken into use.
     adopted: Vec<(SocketRole, OwnedFd)>,
@@ -57,6 +59,7 @@
             request,
             listener: None,
             successor: Successor::alone(),
+            refused_as_busy: false,
             to_predecessor: None,
             adopted: Vec::new(),
             predecessor: Predecessor::new(name.to_owned(), listen),
@@ -83,6 +86,7 @@
             }
         };
         if let SuccessorEvent::Refused(refusal) = &event {
+            self.refused_as_busy = *refusal == Refusal::Busy;
             tracing::warn!("upgrade: no sockets taken over: the running process refused: {refusal:?}");
         }
         match self.successor.handle(event) {
@@ -158,7 +162,13 @@
 
     /// Listens for a successor.
     pub fn await_successor(&mut self, net: &Net) {
-        match self.rendezvous.listen() {
+        // Two processes run already. Were the path taken from the one that takes over, the next upgrade would have the
+        // sockets of this one, and leave the other's clients without a successor.
+        let listener = match self.refused_as_busy {
+            true => self.rendezvous.listen_if_free(),
+            false => self.rendezvous.listen(),
+        };
+        match listener {
             Ok(listener) => {
                 if net.poll.add(&listener, RENDEZVOUS, true, false).is_ok() {
                     self.listener = Some(listener);
--- a/tests/upgrade/failures.rs
+++ b/tests/upgrade/failures.rs
@@ -134,3 +134,28 @@
     site.serves("third");
     third.stop();
 }
+
+// What was seen: after an upgrade during which a third process was started and ended, the next upgrade found nobody to take
+// over from; the process that had taken over kept its clients and had no successor. Why: the third process had been refused, and
+// still took the path where processes meet once it was ready, from a process that was listening there.
+#[test]
+fn a_third_process_leaves_the_path_to_the_one_that_takes_over() {
+    let site = Site::new("path");
+    let old = site.start();
+    let second = site.held_successor(&old);
+    let third = site.held_before_ready();
+    second.go_on();
+    second.becomes_ready();
+    old.logs("the new process takes clients");
+    third.go_on();
+    third.becomes_ready();
+    third.logs("the running process refused: Busy");
+    third.logs("another process of this broker waits there");
+    old.stop();
+    third.stop();
+    let fourth = site.start_successor();
+    second.logs("a new process has the listening sockets");
+    second.stop();
+    site.serves("path");
+    fourth.stop();
+}
--- a/tests/upgrade/site.rs
+++ b/tests/upgrade/site.rs
@@ -109,22 +109,28 @@
         process
     }
 
-    /// A successor that has the sockets of this process, is not ready, and is held there. It waits for its first list
-    /// only a moment: one that has got further, on a busy machine, is ended and another one is started.
+    /// A successor that has the sockets of this process, is not ready, and is held there.
     pub fn held_successor(&self, old: &Process) -> Process {
+        let held = self.held_before_ready();
+        old.logs("a new process has the listening sockets");
+        held
+    }
+
+    /// A process that has asked the running one for its sockets, is not ready, and is held there. It waits for its first
+    /// list only a moment: one that has got further, on a busy machine, is ended and another one is started.
+    pub fn held_before_ready(&self) -> Process {
         let mut held = None;
-        until("each successor gets ready before it is held", || {
+        until("each process gets ready before it is held", || {
             let before = self.rendezvous_file();
             let discovery = Discovery::new();
             let process = self.spawn_with(discovery.address);
-            // It calls discovery once it has the sockets.
+            // It calls discovery once it has been answered.
             let _call = discovery.call();
             process.hold();
             // Logs are written behind what is done; one that is ready has replaced the file where processes meet.
             held = (self.rendezvous_file() == before).then_some(process);
             held.is_some()
         });
-        old.logs("a new process has the listening sockets");
         held.expect("there")
     }
 
