A process that is refused as busy reads so also where its request found nobody

A third process said that it had no answer, in place of `Busy`, and then took the path for itself as before.

Cause: a busy process accepts, says so and closes without reading. Where the request was sent after that close, the write failed, and the word that had come was not read.

Mend: what has come is read before the failed write counts. It holds as the word is in the socket once the write can fail.

--- a/src/upgrade.rs
+++ b/src/upgrade.rs
@@ -103,14 +103,19 @@
     fn await_offer(&mut self, mut channel: Channel) -> Result<SuccessorEvent, ChannelError> {
         let until = Instant::now() + OFFER_TIME;
         channel.stream().set_write_timeout(Some(OFFER_TIME))?;
-        channel.send(&Message::Request(self.request.clone()), &[])?;
+        // A process that is busy says so and closes before it reads: its word is there though the request found nobody.
+        let sent = channel.send(&Message::Request(self.request.clone()), &[]);
         loop {
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return Ok(SuccessorEvent::NoAnswer);
             }
             channel.stream().set_read_timeout(Some(left))?;
-            let Some(received) = channel.receive()? else { continue };
+            let received = match (channel.receive(), sent.is_ok()) {
+                (Err(_), false) => return sent.map(|()| SuccessorEvent::NoAnswer),
+                (received, _) => received?,
+            };
+            let Some(received) = received else { continue };
             match received.message {
                 Message::Offer(offer) if offer.roles.len() == received.sockets.len() => {
                     self.adopted = offer.roles.iter().copied().zip(received.sockets).collect();
