--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod run;
 pub mod scenario;
 pub mod schedule;
+pub mod soak;
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use badgergauge_poll::{Poll, Ready, Waker, connect};
+use badgergauge_standin::ledger::UNSAFE_QUERY;
 use badgergauge_standin::value;
 use hdrhistogram::Histogram;
 use rand::{Rng, SeedableRng};
@@ -25,9 +26,25 @@
 const TRIES: u32 = 4;
 /// The clients' thread says so fast what they hold.
 const HELD_WITHIN: Duration = Duration::from_secs(1);
+/// An unruly client leaves, writes on, or stays in mid-request for this long at the most.
+const UNRULY_FOR: Duration = Duration::from_millis(400);
+/// One that stops in mid-request stays so long.
+const STAYS: Duration = Duration::from_secs(4);
 /// A value, shard and weight apart, that no answer may be longer than.
 const LONGEST: usize = 1024 * 1024;
 
+/// What running a part twice does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Effect {
+    /// Nothing.
+    Safe,
+    /// Nothing within a window, as its queries carry an idempotency key.
+    Keyed,
+    /// Harm.
+    Unsafe,
+}
+
 /// A class of queries.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
@@ -37,8 +54,8 @@
     pub aim: Duration,
     /// The client's time.
     pub deadline: Duration,
-    /// Whether it carries an idempotency key.
-    pub keyed: bool,
+    /// What running a part of it twice does.
+    pub effect: Effect,
     /// The least share of an answer.
     pub least: f64,
     /// Its share of the queries.
@@ -66,6 +83,8 @@
     pub seed: u64,
     /// Whether connections are kept for further requests; else each carries one.
     pub pooled: bool,
+    /// Share of the queries whose clients are unruly.
+    pub unruly: f64,
 }
 
 /// Queries by what became of them, by the second in which they were due.
@@ -91,6 +110,8 @@
     pub refusals: u32,
     /// Connections that were not taken, each followed by another try.
     pub not_taken: u32,
+    /// Their clients left.
+    pub left: u32,
 }
 
 /// A request that was never answered.
@@ -197,9 +218,39 @@
     }
 }
 
+/// How a client behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Habit {
+    /// It sends its request, and waits.
+    Patient,
+    /// It leaves so long after its request, answered or not.
+    Leaves(Duration),
+    /// It writes the second half of its request so long after the first.
+    WritesSlowly(Duration),
+    /// It writes the first half, and stays.
+    Stops,
+}
+
+impl Habit {
+    fn unruly(rng: &mut ChaCha8Rng) -> Self {
+        let pause = UNRULY_FOR.mul_f64(rng.random());
+        match rng.random_range(0..3) {
+            0 => Habit::Leaves(pause),
+            1 => Habit::WritesSlowly(pause),
+            _ => Habit::Stops,
+        }
+    }
+
+    /// Whether what becomes of its request is nobody's concern.
+    fn leaves(self) -> bool {
+        matches!(self, Habit::Leaves(_) | Habit::Stops)
+    }
+}
+
 /// A query that a client wants answered.
 #[derive(Clone)]
 struct Wish {
+    habit: Habit,
     due: Duration,
     ends: Duration,
     class: usize,
@@ -218,6 +269,8 @@
     stream: TcpStream,
     out: Vec<u8>,
     written: usize,
+    /// How much may be written by now.
+    ready_to_write: usize,
     bytes: Vec<u8>,
     sent: Duration,
 }
@@ -229,6 +282,10 @@
     Again(Box<Wish>),
     /// The try of the same number is given up.
     Expire,
+    /// The client of the try of this number leaves.
+    Leave(usize),
+    /// It writes the rest of its request.
+    WriteOn(usize),
 }
 
 /// A whole response.
@@ -330,6 +387,8 @@
                     Some(Due::Next) => self.next(at),
                     Some(Due::Again(wish)) => self.attempt(*wish),
                     Some(Due::Expire) => self.end(id, Ended::Lost { closed: false }),
+                    Some(Due::Leave(key)) => self.leave(key),
+                    Some(Due::WriteOn(key)) => self.write_on(key),
                     None => {}
                 }
             }
@@ -372,7 +431,9 @@
         // Neighbours, as a map's window asks them.
         let first = self.rng.random_range(0..self.load.blocks);
         let shards = (0..count).map(|n| (first + n) % self.load.blocks).collect();
+        let is_unruly = self.load.unruly > 0.0 && self.rng.random::<f64>() < self.load.unruly;
         let wish = Wish {
+            habit: if is_unruly { Habit::unruly(&mut self.rng) } else { Habit::Patient },
             due: at,
             ends: at + self.load.classes[class].deadline,
             class,
@@ -427,13 +488,18 @@
         // Ends that have come are seen before a broker is chosen for its connections.
         self.pool.drop_ended(&self.poll);
         let Some(broker) = self.choose(&wish) else { return self.not_taken(wish, None) };
-        let id = format!("b{broker}-{}-{}-{}", self.asked, wish.tries, self.last);
         let class = &self.load.classes[wish.class];
+        let query = match class.effect {
+            Effect::Unsafe => format!("{UNSAFE_QUERY}{}", wish.key),
+            Effect::Safe | Effect::Keyed => self.asked.to_string(),
+        };
+        let id = format!("b{broker}-{query}-{}-{}", wish.tries, self.last);
         let share = 1.0 / wish.shards.len() as f64;
         let tablets: Vec<String> =
             wish.shards.iter().map(|s| format!("{{\"tablet\":{s},\"fraction\":{share}}}")).collect();
         let body = format!("{{\"tablets\":[{}],\"statement\":\"{}\"}}", tablets.join(","), wish.statement);
-        let key = if class.keyed { format!("Idempotency-Key: {}\r\n", wish.key) } else { String::new() };
+        let keyed = class.effect == Effect::Keyed;
+        let key = if keyed { format!("Idempotency-Key: {}\r\n", wish.key) } else { String::new() };
         let retried = if wish.tries > 1 { "X-Retried: 1\r\n" } else { "" };
         let last = if self.load.pooled { "" } else { "Connection: close\r\n" };
         let out = format!(
@@ -451,7 +517,36 @@
         };
         self.pool.note_request(broker, now);
         let (out, bytes) = (out.into_bytes(), Vec::new());
-        self.tries.insert(key, Try { wish, id, broker, stream, out, written: 0, bytes, sent: now });
+        let ready_to_write = match wish.habit {
+            Habit::Patient | Habit::Leaves(_) => out.len(),
+            Habit::WritesSlowly(_) | Habit::Stops => out.len() / 2,
+        };
+        match wish.habit {
+            Habit::Patient => {}
+            Habit::Leaves(pause) => drop(self.arm(now + pause, Due::Leave(key))),
+            Habit::WritesSlowly(pause) => drop(self.arm(now + pause, Due::WriteOn(key))),
+            Habit::Stops => drop(self.arm(now + STAYS, Due::Leave(key))),
+        }
+        let written = 0;
+        self.tries
+            .insert(key, Try { wish, id, broker, stream, out, written, ready_to_write, bytes, sent: now });
+    }
+
+    /// A client leaves: its connection is closed, whatever comes.
+    fn leave(&mut self, key: usize) {
+        let Some(attempt) = self.tries.remove(&key) else { return };
+        self.what.remove(&key);
+        self.poll.remove(&attempt.stream);
+        self.fates(&attempt.wish).left += 1;
+        self.open -= 1;
+    }
+
+    /// A client that writes slowly writes the rest.
+    fn write_on(&mut self, key: usize) {
+        if let Some(attempt) = self.tries.get_mut(&key) {
+            attempt.ready_to_write = attempt.out.len();
+            self.ready(key);
+        }
     }
 
     /// A broker did not take the connection: the client goes to another at once, or soon where there is none.
@@ -479,7 +574,7 @@
         let Some(attempt) = self.tries.get_mut(&key) else { return };
         match attempt.advance() {
             Ok(None) => {
-                let write = attempt.written < attempt.out.len();
+                let write = attempt.written < attempt.ready_to_write;
                 if self.poll.ask(&attempt.stream, key, true, write).is_err() {
                     self.end(key, Ended::Lost { closed: true });
                 }
@@ -492,6 +587,9 @@
     }
 
     fn end(&mut self, key: usize, how: Ended) {
+        if self.tries.get(&key).is_some_and(|attempt| attempt.wish.habit.leaves()) {
+            return self.leave(key);
+        }
         let Some(attempt) = self.tries.remove(&key) else { return };
         self.what.remove(&key);
         let now = self.base.elapsed();
@@ -582,8 +680,8 @@
 impl Try {
     /// Writes and reads what is possible. Gives the response once it is whole.
     fn advance(&mut self) -> io::Result<Option<Response>> {
-        while self.written < self.out.len() {
-            match self.stream.write(&self.out[self.written..]) {
+        while self.written < self.ready_to_write {
+            match self.stream.write(&self.out[self.written..self.ready_to_write]) {
                 Ok(written) => self.written += written,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
                 Err(error) => return Err(error),
@@ -638,7 +736,8 @@
     fn wish() -> Wish {
         let (due, ends) = (Duration::ZERO, Duration::from_secs(1));
         let (shards, statement, key) = (vec![3, 4], "t".to_owned(), "k".to_owned());
-        Wish { due, ends, class: 0, shards, statement, key, tries: 1, not: Vec::new() }
+        let habit = Habit::Patient;
+        Wish { habit, due, ends, class: 0, shards, statement, key, tries: 1, not: Vec::new() }
     }
 
     fn body(full: bool, pieces: &[(u32, &str)]) -> String {
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -46,6 +46,9 @@
     pub refusals: u32,
     /// Connections that no broker took.
     pub not_taken: u32,
+    /// Their clients left.
+    #[serde(default)]
+    pub left: u32,
     /// Calls for the list, and those that were turned away.
     pub list_calls: u32,
     /// See `list_calls`.
@@ -351,8 +354,19 @@
 pub fn rows(ledger: &Ledger, seen: &Seen, gathered: &Gathered, offset: u64) -> Vec<Row> {
     let mut rows: BTreeMap<u64, Row> = BTreeMap::new();
     for (second, fates) in &seen.fates {
-        let Fates { offered, in_time, late, partial, refused, failed, lost, closed, refusals, not_taken } =
-            *fates;
+        let Fates {
+            offered,
+            in_time,
+            late,
+            partial,
+            refused,
+            failed,
+            lost,
+            closed,
+            refusals,
+            not_taken,
+            left,
+        } = *fates;
         let row = Row {
             offered,
             in_time,
@@ -364,6 +378,7 @@
             closed,
             refusals,
             not_taken,
+            left,
             ..Row::default()
         };
         rows.insert(*second, row);
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -1,5 +1,6 @@
 //! Runs a scenario: stand-ins, fault proxy, brokers, clients, and the schedule of faults between them.
 
+mod crowd;
 mod drain;
 mod hold;
 mod settings;
@@ -8,7 +9,7 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::io;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
@@ -169,6 +170,8 @@
     ends: bool,
     /// It is to be started once it has ended.
     again: bool,
+    /// It was killed, as it had not ended in its time.
+    killed: bool,
     /// When it was started, until it is ready.
     started: Option<Duration>,
     address: Option<SocketAddr>,
@@ -232,6 +235,8 @@
     heard: Receiver<Note>,
     due: Vec<(Duration, Due)>,
     gathered: Gathered,
+    /// By broker: connections of clients that ask for nothing.
+    crowds: Vec<Vec<TcpStream>>,
     cpu_before: f64,
 }
 
@@ -300,6 +305,7 @@
         heard,
         due: Vec::new(),
         gathered: Gathered::default(),
+        crowds: (0..scenario.brokers).map(|_| Vec::new()).collect(),
         cpu_before: 0.0,
     };
     fleet.play(&schedule)
@@ -374,11 +380,12 @@
             weights,
             parts: self.scenario.parts,
             blocks: blocks(self.scenario),
-            classes: classes(),
+            classes: classes(self.scenario),
             from: self.offset,
             lasts: Duration::from_secs(self.scenario.seconds),
             seed: self.scenario.seed,
             pooled: self.scenario.pooled,
+            unruly: self.scenario.unruly,
         };
         let clients = Clients::start(load, self.base)?;
         for (n, broker) in self.brokers.iter().enumerate() {
@@ -462,7 +469,10 @@
             }
             Due::Hangs(broker, run) => {
                 let hangs = self.brokers[broker].run == run && self.brokers[broker].process.is_some();
-                if hangs {
+                if hangs && self.scenario.kills_early {
+                    self.brokers[broker].killed = true;
+                    self.signal(broker, Signal::KILL);
+                } else if hangs {
                     let what = format!("b{broker} did not end after SIGTERM");
                     self.gathered.crashed.push((self.now(), what));
                     self.signal(broker, Signal::KILL);
@@ -495,7 +505,7 @@
     fn act(&mut self, act: Act) -> io::Result<()> {
         match act {
             Act::Kill(broker) => {
-                self.brokers[broker].ends = true;
+                (self.brokers[broker].ends, self.brokers[broker].killed) = (true, true);
                 self.signal(broker, Signal::KILL);
                 let run = self.brokers[broker].run;
                 self.arm(self.now() + NOTICED, Due::Unlist(broker, run));
@@ -504,13 +514,24 @@
             Act::Start(broker) if self.brokers[broker].process.is_some() => self.brokers[broker].again = true,
             Act::Start(broker) => self.start(broker)?,
             Act::Restart(broker) => {
+                let ends_in =
+                    if self.scenario.kills_early { upgrade::kill_after(self.scenario) } else { STOPS_IN };
                 let state = &mut self.brokers[broker];
-                (state.ends, state.again) = (true, true);
+                let was_told = std::mem::replace(&mut state.ends, true);
+                state.again = true;
                 let run = state.run;
                 self.signal(broker, if self.options.rolls_kill { Signal::KILL } else { Signal::TERM });
-                self.arm(self.now() + LAST_CLIENTS, Due::Unlist(broker, run));
-                self.arm(self.now() + STOPS_IN, Due::Hangs(broker, run));
+                if !was_told {
+                    self.arm(self.now() + LAST_CLIENTS, Due::Unlist(broker, run));
+                    self.arm(self.now() + ends_in, Due::Hangs(broker, run));
+                }
+            }
+            Act::Hup(broker) => self.signal(broker, Signal::HUP),
+            Act::CrowdComes(broker, clients) => {
+                let address = self.ports[broker].clients.address();
+                self.crowds[broker] = crowd::gather(address, clients);
             }
+            Act::CrowdLeaves(broker) => self.crowds[broker].clear(),
             Act::Upgrade(broker) => self.upgrade(broker)?,
             Act::StartDrain(broker) => self.start_drain(broker),
             Act::StopDrain(broker) => self.stop_drain(broker),
@@ -711,6 +732,13 @@
                 let failed_to_start = state.started.take().is_some() && !state.ends;
                 state.failed += u32::from(failed_to_start);
                 let retry = failed_to_start && state.failed <= STARTS;
+                let ended_badly =
+                    state.again && !state.killed && !self.options.rolls_kill && !status.success();
+                if ended_badly && self.scenario.kills_early {
+                    let what = format!("b{} was told to end, and ended with {status}", note.broker);
+                    self.gathered.crashed.push((now, what));
+                }
+                state.killed = false;
                 let (run, crashed) = (state.run, !state.ends && !retry);
                 let again = state.again || retry;
                 if crashed {
--- a/crates/fleet/src/run/settings.rs
+++ b/crates/fleet/src/run/settings.rs
@@ -5,37 +5,51 @@
 use badgergauge_standin::ledger;
 use serde_json::{Value, json};
 
-use crate::load::Class;
+use crate::load::{Class, Effect};
 use crate::scenario::Scenario;
 use crate::schedule::zone_of;
 
 /// The window of keyed queries.
 pub const WINDOW: Duration = Duration::from_secs(5);
 
+/// What a query of each class earns, in their order.
+const CREDITS: [f64; 4] = [1.0, 2.0, 5.0, 3.0];
+/// What an answer that is not whole is worth, by class.
+const INCOMPLETE_WORTH: [f64; 4] = [0.9, 0.9, 0.8, 0.9];
+
 /// The classes that clients ask.
-pub fn classes() -> Vec<Class> {
-    let class = |name: &str, keyed: bool, least: f64, share: f64| Class {
+pub fn classes(scenario: &Scenario) -> Vec<Class> {
+    let class = |name: &str, effect: Effect, least: f64, share: f64| Class {
         name: name.to_owned(),
         aim: Duration::from_millis(500),
         deadline: Duration::from_secs(2),
-        keyed,
+        effect,
         least,
         share,
     };
-    vec![
-        class("parcel-search", false, 1.0, 0.7),
-        class("title-flag", true, 1.0, 0.15),
-        class("area-report", false, 0.8, 0.15),
-    ]
+    let mut classes = vec![
+        class("parcel-search", Effect::Safe, 1.0, 0.7),
+        class("title-flag", Effect::Keyed, 1.0, 0.15),
+        class("area-report", Effect::Safe, 0.8, 0.15),
+    ];
+    if scenario.unsafe_share > 0.0 {
+        let safe_share = 1.0 - scenario.unsafe_share;
+        classes.iter_mut().for_each(|class| class.share *= safe_share);
+        classes.push(class("title-transfer", Effect::Unsafe, 1.0, scenario.unsafe_share));
+    }
+    classes
 }
 
 /// The settings, as the platform gives them.
 pub fn settings(scenario: &Scenario, me: usize) -> Value {
-    let profiles: Vec<Value> = classes()
+    let classes = classes(scenario);
+    let each = |value: f64| vec![value; classes.len()];
+    let least: Vec<f64> = classes.iter().map(|class| class.least).collect();
+    let profiles: Vec<Value> = classes
         .iter()
-        .zip([1.0, 2.0, 5.0])
+        .zip(CREDITS)
         .map(|(class, credit)| {
-            json!({"name": class.name, "effect": if class.keyed { "keyed" } else { "safe" }, "credit": credit,
+            json!({"name": class.name, "effect": class.effect, "credit": credit,
                 "lateShare": 0.3, "aimNs": class.aim.as_nanos() as u64,
                 "deadlineNs": class.deadline.as_nanos() as u64, "windowNs": WINDOW.as_nanos() as u64})
         })
@@ -44,8 +58,8 @@
     json!({"balancers": scenario.brokers, "me": me, "granularityNs": 5_000_000,
         "locality": zone_of(me, scenario.zones), "zones": zones, "clients": {"marksRetry": true},
         "registryMode": if scenario.on_request { "on_request" } else { "pushed" }, "profiles": profiles,
-        "extra": {"batch": 1, "callNs": 0, "followUp": [0, 0, 0], "incompleteWorth": [0.9, 0.9, 0.8],
-            "leastShare": [1.0, 1.0, 0.8], "needByClass": [1.0, 1.0, 1.0], "sets": scenario.cells,
+        "extra": {"batch": 1, "callNs": 0, "followUp": vec![0; classes.len()],
+            "incompleteWorth": INCOMPLETE_WORTH[..classes.len()], "leastShare": least, "needByClass": each(1.0), "sets": scenario.cells,
             "slices": blocks(scenario), "width": scenario.width},
         "limits": {"cancel": true, "maxAttempts": 4, "maxOpen": 4000, "maxRetryAfterNs": 2_000_000_000_u64,
             "maxStreams": 100, "mayProbe": false, "retryAfter": true, "secondCopies": false, "peers": true},
--- a/crates/fleet/src/run/upgrade.rs
+++ b/crates/fleet/src/run/upgrade.rs
@@ -11,6 +11,7 @@
 use crate::control;
 use crate::process::Process;
 use crate::record::Upgrade;
+use crate::scenario::Scenario;
 
 /// The old process has at the least so long after SIGTERM, and `KILL_MARGIN` more.
 const SHORTEST_END: Duration = Duration::from_secs(3);
@@ -45,8 +46,8 @@
 
 /// After SIGTERM the old process has so long: the longest deadline, or [`SHORTEST_END`] where that is longer, and a
 /// margin.
-fn kill_after() -> Duration {
-    let longest = classes().iter().map(|class| class.deadline).max().unwrap_or_default();
+pub(super) fn kill_after(scenario: &Scenario) -> Duration {
+    let longest = classes(scenario).iter().map(|class| class.deadline).max().unwrap_or_default();
     longest.max(SHORTEST_END) + KILL_MARGIN
 }
 
@@ -110,7 +111,7 @@
         if let Some(process) = old {
             process.signal(Signal::TERM);
             state.old = Some(Old { process, run: old_run, cpu: old_cpu, killed: false });
-            self.arm(now + kill_after(), Due::KillOld(broker, old_run));
+            self.arm(now + kill_after(self.scenario), Due::KillOld(broker, old_run));
         }
         self.note_upgrade(broker, run, |upgrade| upgrade.ready = Some(now));
     }
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -65,6 +65,12 @@
     pub store: bool,
     /// Whether clients keep their connections for further requests.
     pub pooled: bool,
+    /// Share of the queries that are of an unsafe class: what has run may not run again.
+    pub unsafe_share: f64,
+    /// Share of the queries whose clients leave before they are answered, write slowly, or stop in mid-request.
+    pub unruly: f64,
+    /// A broker that was told to end is killed as early as the platform may; else it is held for hanging after a while.
+    pub kills_early: bool,
     /// The timeline, in the file's order.
     pub events: Vec<Event>,
 }
@@ -122,6 +128,11 @@
     Stores { share: f64, cut: bool },
     /// Discovery moves: brokers get a new file and SIGHUP.
     Reload,
+    /// So many of the brokers get these signals, each so long after the one before. After a SIGTERM they are started again
+    /// once they have ended.
+    Signals { share: f64, series: Vec<Signal>, every: Duration },
+    /// So many of the brokers are connected to by clients that ask for nothing, so many each.
+    Crowd { share: f64, clients: usize, lasts: Duration },
     /// A zone's servers are gone without a word for a while, and come back cold.
     LoseZone { zone: usize, lasts: Duration },
     /// A zone is cut off: its brokers and servers reach those of no other zone, nor these them. `one_way`: what
@@ -150,6 +161,16 @@
     Share(f64),
 }
 
+/// A signal that an operator sends.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Signal {
+    /// SIGHUP, with the configuration as it stands.
+    Hup,
+    /// SIGTERM.
+    Term,
+}
+
 /// What a server may be made to do with parts.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "snake_case")]
--- a/crates/fleet/src/scenario/file.rs
+++ b/crates/fleet/src/scenario/file.rs
@@ -7,10 +7,14 @@
 use serde_saphyr::Spanned;
 
 use super::checks::Checks;
-use super::{Event, Fault, Manner, Scenario, ScenarioFault, Tile};
+use super::{Event, Fault, Manner, Scenario, ScenarioFault, Signal, Tile};
 
 /// Longest time for which a broker is held up, in milliseconds.
 const MAX_HOLD_MS: f64 = 1000.0;
+/// Longest time between two signals of a series, in milliseconds.
+const MAX_SIGNAL_GAP_MS: f64 = 60_000.0;
+/// Most connections of a crowd to one broker.
+const MAX_CROWD: u64 = 10_000;
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -32,6 +36,10 @@
     store: bool,
     #[serde(default)]
     pooled: bool,
+    unsafe_share: Option<Spanned<f64>>,
+    unruly: Option<Spanned<f64>>,
+    #[serde(default)]
+    kills_early: bool,
     #[serde(default)]
     tile: TileFile,
     #[serde(default)]
@@ -64,6 +72,8 @@
     wipe_stores: Option<Share>,
     cut_stores: Option<Share>,
     reload: Option<Nothing>,
+    signals: Option<SignalsFile>,
+    crowd: Option<CrowdFile>,
     lose_zone: Option<OfZone>,
     partition: Option<Split>,
     replace: Option<Some2>,
@@ -114,6 +124,22 @@
 #[serde(deny_unknown_fields)]
 struct Nothing {}
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SignalsFile {
+    share: Spanned<f64>,
+    series: Vec<Signal>,
+    every_ms: Spanned<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CrowdFile {
+    share: Spanned<f64>,
+    clients: Spanned<u64>,
+    for_s: Spanned<f64>,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct OfZone {
@@ -228,6 +254,11 @@
         }
         let (seed, on_request, store) = (file.seed.unwrap_or(1), file.on_request, file.store);
         let (indented, pooled) = (file.indented, file.pooled);
+        let mut share = |key: &str, value: &Option<Spanned<f64>>| {
+            value.as_ref().map_or(0.0, |value| checks.figure(key, value, 0.0, 1.0))
+        };
+        let unsafe_share = share("unsafe_share", &file.unsafe_share);
+        let unruly = share("unruly", &file.unruly);
         let scenario = Scenario {
             brokers,
             servers,
@@ -243,6 +274,9 @@
             indented,
             store,
             pooled,
+            unsafe_share,
+            unruly,
+            kills_early: file.kills_early,
             events,
         };
         if checks.faults.is_empty() { Ok(scenario) } else { Err(checks.faults) }
@@ -304,6 +338,22 @@
         if self.reload.is_some() {
             faults.push(Fault::Reload);
         }
+        if let Some(event) = &self.signals {
+            faults.push(Fault::Signals {
+                share: checks.figure(&key("signals.share"), &event.share, 0.0, 1.0),
+                series: event.series.clone(),
+                every: Duration::from_secs_f64(
+                    checks.figure(&key("signals.every_ms"), &event.every_ms, 0.0, MAX_SIGNAL_GAP_MS) / 1e3,
+                ),
+            });
+        }
+        if let Some(event) = &self.crowd {
+            faults.push(Fault::Crowd {
+                share: checks.figure(&key("crowd.share"), &event.share, 0.0, 1.0),
+                clients: checks.count(&key("crowd.clients"), &event.clients, 1, MAX_CROWD),
+                lasts: checks.seconds(&key("crowd.for_s"), &event.for_s),
+            });
+        }
         if let Some(event) = &self.lose_zone {
             let zone = checks.count(&key("lose_zone.zone"), &event.zone, 0, zones as u64 - 1);
             faults
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::proxy::Rule;
-use crate::scenario::{Brokers, Fault, Manner, Scenario};
+use crate::scenario::{Brokers, Fault, Manner, Scenario, Signal};
 
 /// How long a server that is replaced drains before its process ends.
 pub const DRAINS: Duration = Duration::from_millis(1500);
@@ -42,6 +42,12 @@
     Cut(usize),
     /// It gets a file that moves discovery, and SIGHUP.
     Reload(usize),
+    /// It gets SIGHUP, with its configuration as it stands.
+    Hup(usize),
+    /// So many clients connect to it and ask for nothing.
+    CrowdComes(usize, usize),
+    /// They leave.
+    CrowdLeaves(usize),
     /// The stand-ins are told so.
     World(World),
     /// A server's machine is there no more, or again, for connections of all brokers.
@@ -162,6 +168,23 @@
                 }
             }
             Fault::Reload => (0..brokers).for_each(|broker| act(at, Act::Reload(broker))),
+            Fault::Signals { share, series, every } => {
+                for broker in some(rng, brokers, *share) {
+                    for (n, signal) in series.iter().enumerate() {
+                        let signalled = match signal {
+                            Signal::Hup => Act::Hup(broker),
+                            Signal::Term => Act::Restart(broker),
+                        };
+                        act(at + *every * n as u32, signalled);
+                    }
+                }
+            }
+            Fault::Crowd { share, clients, lasts } => {
+                for broker in some(rng, brokers, *share) {
+                    act(at, Act::CrowdComes(broker, *clients));
+                    act(at + *lasts, Act::CrowdLeaves(broker));
+                }
+            }
             Fault::LoseZone { zone, lasts } => {
                 let lost: Vec<usize> =
                     (0..servers).filter(|s| zone_of(*s, scenario.zones) == *zone).collect();
--- a/crates/fleet/tests/faults.rs
+++ b/crates/fleet/tests/faults.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use badgergauge_fleet::load::{Class, Clients, Load, Seen, Tell as FrontTell};
+use badgergauge_fleet::load::{Class, Clients, Effect, Load, Seen, Tell as FrontTell};
 use badgergauge_fleet::proxy::{Builder, Link, Proxy, Rule, Tell};
 use badgergauge_standin::ledger::Rule as Broken;
 use badgergauge_standin::model::{Figures, Manner};
@@ -312,7 +312,7 @@
         name: "c".into(),
         aim: Duration::from_millis(100),
         deadline: Duration::from_millis(200),
-        keyed: true,
+        effect: Effect::Keyed,
         least: 1.0,
         share: 1.0,
     };
@@ -326,6 +326,7 @@
         lasts: Duration::from_millis(100),
         seed: 1,
         pooled,
+        unruly: 0.0,
     };
     let clients = Clients::start(load, Instant::now()).expect("starts");
     clients.tell(FrontTell::Front(0, Some(at)));
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -1,5 +1,6 @@
 //! What the stand-ins saw, by second and server, and the rules of the protocol that they saw broken. No I/O.
 
+use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -45,7 +46,7 @@
 pub enum Rule {
     /// A part was out twice at once.
     SecondCopy,
-    /// A keyed part ran again after its window.
+    /// A keyed part ran again after its window, or a part of an unsafe class at all.
     Doubled,
     /// A part went to a server that the broker knew was draining.
     Drained,
@@ -106,7 +107,7 @@
     pub window: Duration,
     /// Parts that are out, by id: on which connection.
     out: HashMap<String, usize>,
-    /// When each keyed part first ran.
+    /// When each part with an effect first ran, by its key or its client's query.
     ran: HashMap<(String, u32), Duration>,
     /// When each broker was told that a server drains.
     told: HashMap<(usize, usize), Duration>,
@@ -117,6 +118,15 @@
     id.strip_prefix('b')?.split('-').next()?.parse().ok()
 }
 
+/// The start of the word in an id that names the client's query, where its class is unsafe: all of a client's requests for
+/// that query share it.
+pub const UNSAFE_QUERY: &str = "u";
+
+/// The query of an unsafe class that an id names: `b0-uQUERY-...`.
+fn unsafe_query_of(id: &str) -> Option<&str> {
+    id.split('-').nth(1)?.strip_prefix(UNSAFE_QUERY)
+}
+
 impl Ledger {
     /// Nothing seen yet, where a key is known for so long.
     pub fn new(window: Duration) -> Self {
@@ -175,14 +185,21 @@
         }
     }
 
-    /// A part is run; if it is keyed, its effect takes hold.
+    /// A part is run; if it is keyed, or of an unsafe class, its effect takes hold. An unsafe one may run but once.
     pub fn runs(&mut self, now: Duration, part: Named<'_>) {
-        let Some(key) = part.key else { return };
-        let first = *self.ran.entry((key.to_owned(), part.shard)).or_insert(now);
-        if first == now {
-            return;
-        }
-        if now > first + self.window + SLACK {
+        let (effect, window) = match (part.key, unsafe_query_of(part.id)) {
+            (Some(key), _) => (key, self.window + SLACK),
+            (None, Some(query)) => (query, Duration::ZERO),
+            (None, None) => return,
+        };
+        let first = match self.ran.entry((effect.to_owned(), part.shard)) {
+            Entry::Occupied(ran) => *ran.get(),
+            Entry::Vacant(place) => {
+                place.insert(now);
+                return;
+            }
+        };
+        if now > first + window || part.key.is_none() {
             let what = format!("{} ran again {} ms after it first did", part.id, (now - first).as_millis());
             self.breach(now, Rule::Doubled, what);
         } else {
@@ -241,6 +258,20 @@
         assert_eq!((rules(&ledger), ledger.repeated), (vec![Rule::Doubled], 2));
     }
 
+    #[test]
+    fn an_unsafe_part_may_run_but_once() {
+        let mut ledger = Ledger::new(MS * 5000);
+        let named = |id| Named { id, shard: 3, key: None };
+        ledger.runs(MS * 10, named("b0-1-1-7.3"));
+        ledger.runs(MS * 10, named("b0-1-1-7.3"));
+        assert_eq!(rules(&ledger), [], "a safe one may run again");
+        ledger.runs(MS * 10, named("b0-u0a-1-7.3"));
+        ledger.runs(MS * 10, Named { shard: 4, ..named("b0-u0a-1-7.4") });
+        assert_eq!(rules(&ledger), []);
+        ledger.runs(MS * 10, named("b1-u0a-2-9.3"));
+        assert_eq!(rules(&ledger), [Rule::Doubled], "at another broker, in the same moment");
+    }
+
     #[test]
     fn a_drain_binds_the_brokers_that_were_told() {
         let mut ledger = Ledger::default();
--- a/src/bin/badgergauge/fleet.rs
+++ b/src/bin/badgergauge/fleet.rs
@@ -8,6 +8,7 @@
 use badgergauge_fleet::scenario::Scenario;
 use badgergauge_fleet::{report, schedule};
 
+use crate::soak::{self, Soak};
 use crate::{BROKEN, DONE, REFUSED};
 
 /// What `fleet` does.
@@ -19,6 +20,9 @@
     /// Reads a scenario and says every fault in it, or what would happen when.
     #[command(after_help = "Example:\n  badgergauge fleet check scenarios/herd.yaml")]
     Check(Check),
+    /// Plays scenarios drawn from seeds, and prints a line for each: what was drawn, and which rules were broken.
+    #[command(after_help = "Example:\n  badgergauge fleet soak --first 1 --seeds 50 --out soak")]
+    Soak(Soak),
     /// Prints a run's counts by second, and draws them.
     #[command(after_help = "Example:\n  badgergauge fleet report run --plot run.svg")]
     Report(Report),
@@ -71,6 +75,7 @@
     let done = match tool {
         Fleet::Run(arguments) => play(&arguments),
         Fleet::Check(arguments) => check(&arguments),
+        Fleet::Soak(arguments) => soak::run(&arguments).map_err(|error| vec![error.to_string()]),
         Fleet::Report(arguments) => tell(&arguments),
     };
     done.unwrap_or_else(|faults| {
--- a/src/bin/badgergauge/main.rs
+++ b/src/bin/badgergauge/main.rs
@@ -3,6 +3,7 @@
 mod demo;
 mod fleet;
 mod serve;
+mod soak;
 mod store;
 mod trace;
 
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 //! shows that they fail where the part that they rest on is taken away.
 
 mod held_up;
+mod soak;
 
 use std::path::Path;
 use std::sync::{Condvar, Mutex, PoisonError};
