In an upgrade the list of servers is handed over, so that a drain is not forgotten

Cause: it was upgraded while discovery turned callers away, and the process that took over went by the list of old in its configuration; only the old process had been told.

Mend: the old process's list travels with the sockets, and the new one starts from it where its own is no newer. It holds as the broker then knows what either of its processes was told. The Unix time of a server's start stood in src/state.rs and is Clock::unix_ms now.

--- a/crates/discovery/src/list.rs
+++ b/crates/discovery/src/list.rs
@@ -5,7 +5,7 @@
 use badgergauge_core::core::Member;
 use badgergauge_core::interface::ServerState;
 use badgergauge_net::clock::Clock;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 /// Longest list that is read, in bytes.
@@ -44,14 +44,14 @@
     pub members: Vec<(Member, Option<SocketAddr>)>,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Serialize)]
 struct Message {
     index: u64,
     snapshot: bool,
     endpoints: Vec<Endpoint>,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Serialize)]
 struct Endpoint {
     name: String,
     #[serde(default)]
@@ -65,15 +65,22 @@
     since_ms: u64,
 }
 
+/// The word for a state in lists.
+fn status_word(state: ServerState) -> &'static str {
+    match state {
+        ServerState::Up => "up",
+        ServerState::Draining => "draining",
+        ServerState::Removed => "removed",
+    }
+}
+
 impl Listing {
     fn new(message: Message, clock: &Clock) -> Result<Self, ListError> {
         let member = |endpoint: Endpoint| {
             let entry = |fault| ListError::Entry { name: endpoint.name.clone(), fault };
-            let state = match endpoint.status.as_str() {
-                "up" => ServerState::Up,
-                "draining" => ServerState::Draining,
-                "removed" => ServerState::Removed,
-                other => return Err(entry(format!("status: unknown word {other:?}"))),
+            let states = [ServerState::Up, ServerState::Draining, ServerState::Removed];
+            let Some(state) = states.into_iter().find(|state| status_word(*state) == endpoint.status) else {
+                return Err(entry(format!("status: unknown word {:?}", endpoint.status)));
             };
             let address = endpoint.address.parse().ok();
             if address.is_none() && state == ServerState::Up {
@@ -86,6 +93,20 @@
         Ok(Listing { index: message.index, whole: message.snapshot, members })
     }
 
+    /// The list as discovery would give it, as JSON.
+    pub fn to_value(&self, clock: &Clock) -> Value {
+        let endpoint = |(member, address): &(Member, Option<SocketAddr>)| Endpoint {
+            name: member.name.clone(),
+            address: address.map(|address| address.to_string()).unwrap_or_default(),
+            zone: member.zone.clone(),
+            group: member.cell,
+            status: status_word(member.state).to_owned(),
+            since_ms: clock.unix_ms(member.started),
+        };
+        let endpoints = self.members.iter().map(endpoint).collect();
+        serde_json::json!(Message { index: self.index, snapshot: self.whole, endpoints })
+    }
+
     /// Reads a list that came inside of other JSON.
     ///
     /// # Errors
--- a/crates/discovery/src/register.rs
+++ b/crates/discovery/src/register.rs
@@ -51,6 +51,11 @@
         self.index
     }
 
+    /// The list in hand, whole.
+    pub fn listing(&self) -> Listing {
+        Listing { index: self.index, whole: true, members: self.members.values().cloned().collect() }
+    }
+
     /// Takes a list that has come, and gives what of it holds now.
     pub fn take(&mut self, now: Time, list: Listing) -> Listing {
         if list.index >= self.index {
@@ -102,8 +107,7 @@
     pub fn believe(&mut self, now: Time) -> Option<Listing> {
         let older = self.older.take_if(|older| now >= older.since.after(COUNTS_AS_TOLD))?;
         (self.index, self.members) = (older.index, older.members);
-        let members = self.members.values().cloned().collect();
-        Some(Listing { index: self.index, whole: true, members })
+        Some(self.listing())
     }
 
     /// The watch has ended: whether its older list still stands is for the next one to say.
--- a/crates/discovery/src/watch.rs
+++ b/crates/discovery/src/watch.rs
@@ -92,6 +92,11 @@
         self.address
     }
 
+    /// The list in hand, whole.
+    pub fn listing(&self) -> Listing {
+        self.register.listing()
+    }
+
     /// Whether discovery has given any list since the start.
     pub fn has_told(&self) -> bool {
         self.told
--- a/crates/handover/src/message.rs
+++ b/crates/handover/src/message.rs
@@ -56,6 +56,10 @@
     pub clients: usize,
     /// What the predecessor's module has learned, encoded by itself. A successor that can't read it starts without.
     pub snapshot: Option<String>,
+    /// The list of servers that the predecessor has, as discovery gives lists. A successor that can't read it goes by the
+    /// one that it has itself.
+    #[serde(default)]
+    pub list: Option<String>,
 }
 
 /// Why nothing is given.
--- a/crates/handover/tests/channel.rs
+++ b/crates/handover/tests/channel.rs
@@ -22,7 +22,12 @@
 }
 
 fn offer() -> Message {
-    Message::Offer(Offer { roles: vec![SocketRole::Clients], clients: 7, snapshot: Some("é{}".to_owned()) })
+    Message::Offer(Offer {
+        roles: vec![SocketRole::Clients],
+        clients: 7,
+        snapshot: Some("é{}".to_owned()),
+        list: None,
+    })
 }
 
 /// A message as the channel writes it.
@@ -147,7 +152,7 @@
     far.set_nonblocking(true).expect("set");
     let (mut sender, mut receiver) = (Channel::new(near).expect("same"), Channel::new(far).expect("same"));
     let snapshot = Some("s".repeat(2 * 1024 * 1024));
-    let message = Message::Offer(Offer { roles: Vec::new(), clients: 0, snapshot });
+    let message = Message::Offer(Offer { roles: Vec::new(), clients: 0, snapshot, list: None });
     sender.send(&message, &[]).expect("sent in part");
     assert!(sender.wants_write(), "it is longer than what the system buffers");
     let received = loop {
--- a/crates/handover/tests/state_machines.rs
+++ b/crates/handover/tests/state_machines.rs
@@ -17,7 +17,7 @@
 }
 
 fn offer() -> Offer {
-    Offer { roles: vec![SocketRole::Clients], clients: 3, snapshot: Some("{}".to_owned()) }
+    Offer { roles: vec![SocketRole::Clients], clients: 3, snapshot: Some("{}".to_owned()), list: None }
 }
 
 /// A predecessor that was brought into this phase.
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -57,6 +57,13 @@
         };
         (ms > 0 && moment.0 > 0).then_some(moment)
     }
+
+    /// The Unix time of a moment in milliseconds; 0 where there is none.
+    pub fn unix_ms(&self, at: Option<Time>) -> u64 {
+        let Some(at) = at else { return 0 };
+        let nanos = i128::from(self.unix_at_zero()) + i128::from(at.0);
+        u64::try_from(nanos / 1_000_000).unwrap_or(0)
+    }
 }
 
 #[cfg(test)]
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -19,6 +19,7 @@
 
 use self::discovery::take_list;
 use self::signals::SignalFlags;
+use self::upgrade::newer_list;
 use crate::backend::{Backend, Done, Flushed};
 use crate::config::Config;
 use crate::config::settings::SiteSettings;
@@ -157,6 +158,11 @@
         let mut backend = Backend::new(settings.clone(), backend_links);
         let known = config.known.take().map(|known| Listing::from_value(&known, &clock)).transpose();
         let mut known = known.map_err(|fault| invalid(format!("known.{fault}")))?;
+        let folder = is_operated.then(shared_folder).flatten();
+        let (mut upgrade, offer) =
+            folder.map(|folder| Upgrade::begin(&folder, &config.name, config.listen)).unzip();
+        let offer = offer.flatten();
+        known = newer_list(known, offer.as_ref(), &clock);
         let store = StateStore::open(&config, clock, &mut known)?;
         if let Some(list) = &mut known {
             list.whole = true;
@@ -176,10 +182,6 @@
             let source = Source::of(&settings.module, settings.drain_grace);
             Watch::new(at, known.as_ref(), clock, Pace::new(clock.now(), source, config.seed))
         });
-        let folder = is_operated.then(shared_folder).flatten();
-        let (mut upgrade, offer) =
-            folder.map(|folder| Upgrade::begin(&folder, &config.name, config.listen)).unzip();
-        let offer = offer.flatten();
         let peers = config
             .peers
             .take()
--- a/src/broker/upgrade.rs
+++ b/src/broker/upgrade.rs
@@ -2,9 +2,13 @@
 
 use std::os::fd::{AsFd, BorrowedFd};
 
+use serde_json::Value;
+
 use super::{Broker, OGC_LISTEN, PEERS};
+use crate::discovery::Listing;
 use crate::handover::{ClientLimits, Offer, PredecessorAction, SocketRole, joint_client_limits};
 use crate::interface::Time;
+use crate::net::clock::Clock;
 use crate::upgrade::PredecessorNews;
 
 impl Broker {
@@ -37,7 +41,8 @@
             roles.push(SocketRole::Peers);
             sockets.push(socket.as_fd());
         }
-        let offer = Offer { roles, clients: self.clients.len(), snapshot };
+        let list = self.watch.as_ref().map(|watch| watch.listing().to_value(&self.net.clock).to_string());
+        let offer = Offer { roles, clients: self.clients.len(), snapshot, list };
         upgrade.offer(&self.net, offer, &sockets);
         self.most_clients = self.most_clients.min(limits.predecessor);
         tracing::info!("upgrade: a new process has the listening sockets and gets ready");
@@ -139,6 +144,21 @@
     }
 }
 
+/// The list that a process starts with: its own, or its predecessor's where that is no older. Discovery may be away when
+/// the process starts, and its own list of old may call a server sound that the predecessor was told to drain.
+pub(super) fn newer_list(known: Option<Listing>, offer: Option<&Offer>, clock: &Clock) -> Option<Listing> {
+    let Some(list) = offer.and_then(|offer| offer.list.as_deref()) else { return known };
+    let value = serde_json::from_str::<Value>(list).map_err(|error| error.to_string());
+    match value.and_then(|value| Listing::from_value(&value, clock).map_err(|error| error.to_string())) {
+        Ok(list) if known.as_ref().is_none_or(|known| list.index >= known.index) => Some(list),
+        Ok(_) => known,
+        Err(error) => {
+            tracing::warn!("upgrade: the old process's list of servers can't be read: {error}");
+            known
+        }
+    }
+}
+
 /// What a listener is for, by its key.
 pub(super) fn role_of(key: usize) -> SocketRole {
     if key == OGC_LISTEN { SocketRole::OgcClients } else { SocketRole::Clients }
--- a/src/state.rs
+++ b/src/state.rs
@@ -15,7 +15,7 @@
 use crate::config::Config;
 use crate::core::Member;
 use crate::discovery::Listing;
-use crate::interface::{ServerState, Time};
+use crate::interface::ServerState;
 use crate::net::clock::Clock;
 
 /// Whatever discovery has to tell counts as told so much later at the latest, says the protocol: an `up` that was
@@ -57,12 +57,6 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
-fn started_ms(clock: &Clock, started: Option<Time>) -> u64 {
-    let Some(started) = started else { return 0 };
-    let nanos = i128::from(clock.unix_at_zero()) + i128::from(started.0);
-    u64::try_from(nanos / 1_000_000).unwrap_or(0)
-}
-
 /// What a start with this list would believe of what was stored.
 ///
 /// # Errors
@@ -76,7 +70,7 @@
 ) -> Result<BTreeMap<String, Belief>, String> {
     let members = known.map_or(&[][..], |list| &list.members);
     let listed = members.iter().map(|(member, _)| {
-        let started_ms = started_ms(clock, member.started);
+        let started_ms = clock.unix_ms(member.started);
         (member.name.clone(), Listed { standing: standing(member.state), started_ms })
     });
     let index = known.map_or(0, |list| list.index);
@@ -174,7 +168,7 @@
         let mut here = BTreeSet::new();
         for (member, address) in &list.members {
             let (zone, cell) = (member.zone.clone(), member.cell);
-            let (standing, started_ms) = (standing(member.state), started_ms(&self.clock, member.started));
+            let (standing, started_ms) = (standing(member.state), self.clock.unix_ms(member.started));
             let server = Server { standing, zone, cell, address: *address, started_ms, noted_ms };
             if standing == Standing::Gone {
                 self.leaves(&member.name);
--- a/tests/upgrade/main.rs
+++ b/tests/upgrade/main.rs
@@ -9,6 +9,7 @@
 
 mod cold;
 mod failures;
+mod lists;
 mod load;
 mod process;
 mod queries;
--- a/tests/upgrade/site.rs
+++ b/tests/upgrade/site.rs
@@ -75,7 +75,8 @@
         Rendezvous::new(&self.folder, NAME, self.listen)
     }
 
-    fn spawn_with(&self, discovery: SocketAddr) -> Process {
+    /// Starts a process with this discovery, without waiting for anything.
+    pub fn spawn_with(&self, discovery: SocketAddr) -> Process {
         let number = self.processes.fetch_add(1, Ordering::Relaxed);
         let log = self.folder.join(format!("{number}.log"));
         let mut command = Command::new(env!("CARGO_BIN_EXE_badgergauge"));
@@ -142,7 +143,30 @@
 
     /// Asks for one part, on a connection of its own.
     pub fn post(&self, id: &str) -> Outcome {
-        exchange(self.listen, &request("search", id, &[0], 50_000))
+        self.post_to(id, 0)
+    }
+
+    /// The same, for the part that the tile server of this number holds.
+    pub fn post_to(&self, id: &str, tile: usize) -> Outcome {
+        exchange(self.listen, &request("search", id, &[tile as u32], 50_000))
+    }
+
+    /// A whole list of this version, in which the last tile server has this status.
+    pub fn list(&self, index: u64, status: &str) -> Value {
+        let lines = self.tiles.iter().zip(0..).map(|(tile, cell)| {
+            let status = if cell + 1 == TILES { status } else { "up" };
+            line(&format!("s{cell}"), tile.address, cell, status)
+        });
+        json!({"index": index, "snapshot": true, "endpoints": lines.collect::<Vec<_>>()})
+    }
+
+    /// Changes the configuration of processes that start from now on.
+    pub fn configure(&self, change: impl FnOnce(&mut Value)) {
+        let path = self.folder.join("config.json");
+        let text = fs::read_to_string(&path).expect("written before");
+        let mut config = serde_json::from_str(&text).expect("JSON");
+        change(&mut config);
+        fs::write(path, config.to_string()).expect("written");
     }
 
     /// Asks some times, each on a connection of its own, which all must be answered.
