A broker with a store can be upgraded: the new process opens it once the old one has ended

Cause: one process alone may have a store open, and the new process opened it while the old one ran.

Mend: a process that takes over starts without it, from the list that was handed over, opens it when the old process has ended, and notes the list in hand. It holds as what is stored then is no newer. A process that takes over from nobody ends as before.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -19,7 +19,7 @@
 
 use self::discovery::take_list;
 use self::signals::SignalFlags;
-use self::upgrade::newer_list;
+use self::upgrade::{newer_list, open_store};
 use crate::backend::{Backend, Done, Flushed};
 use crate::config::Config;
 use crate::config::settings::SiteSettings;
@@ -163,7 +163,7 @@
             folder.map(|folder| Upgrade::begin(&folder, &config.name, config.listen)).unzip();
         let offer = offer.flatten();
         known = newer_list(known, offer.as_ref(), &clock);
-        let store = StateStore::open(&config, clock, &mut known)?;
+        let store = open_store(&config, clock, &mut known, offer.is_some())?;
         if let Some(list) = &mut known {
             list.whole = true;
             take_list(&mut core, &mut backend, list, None);
--- a/src/broker/upgrade.rs
+++ b/src/broker/upgrade.rs
@@ -1,14 +1,17 @@
 //! What the broker does in a hand-over, as predecessor and as successor.
 
+use std::io;
 use std::os::fd::{AsFd, BorrowedFd};
 
 use serde_json::Value;
 
 use super::{Broker, OGC_LISTEN, PEERS};
-use crate::discovery::Listing;
+use crate::config::Config;
+use crate::discovery::{Listing, Watch};
 use crate::handover::{ClientLimits, Offer, PredecessorAction, SocketRole, joint_client_limits};
 use crate::interface::Time;
 use crate::net::clock::Clock;
+use crate::state::StateStore;
 use crate::upgrade::PredecessorNews;
 
 impl Broker {
@@ -108,10 +111,26 @@
                 self.core.recover_budgets(now);
                 self.most_clients = self.most_clients_alone;
                 tracing::info!("upgrade: the old process has ended");
+                self.take_store_over();
             }
         }
     }
 
+    /// Opens the store that the predecessor has closed, and notes the list in it: what is stored is no newer.
+    fn take_store_over(&mut self) {
+        if self.store.is_some() {
+            return;
+        }
+        let mut known = self.watch.as_ref().map(Watch::listing);
+        match StateStore::open(&self.config, self.net.clock, &mut known) {
+            Ok(store) => self.store = store,
+            Err(error) => tracing::warn!("upgrade: {error}: nothing is stored until the next start"),
+        }
+        if let (Some(store), Some(watch)) = (&mut self.store, &self.watch) {
+            store.note(&watch.listing());
+        }
+    }
+
     /// Spends from now on what both processes may spend together.
     fn take_budgets_over(&mut self, now: Time, spending: &str) {
         let read = serde_json::from_str(spending).map_err(|error| error.to_string());
@@ -159,6 +178,23 @@
     }
 }
 
+/// Opens the store, if there is to be one. A process that takes over finds it open still by its predecessor: it needs
+/// nothing of it, as it has the predecessor's list, and opens it when that one has ended.
+pub(super) fn open_store(
+    config: &Config,
+    clock: Clock,
+    known: &mut Option<Listing>,
+    takes_over: bool,
+) -> io::Result<Option<StateStore>> {
+    match StateStore::open(config, clock, known) {
+        Err(error) if takes_over && error.kind() == io::ErrorKind::AddrInUse => {
+            tracing::info!("upgrade: the store is the old process's until that has ended");
+            Ok(None)
+        }
+        opened => opened,
+    }
+}
+
 /// What a listener is for, by its key.
 pub(super) fn role_of(key: usize) -> SocketRole {
     if key == OGC_LISTEN { SocketRole::OgcClients } else { SocketRole::Clients }
