Soak draws that make brokers give parts up: silent servers in turns, hold-ups, zones cut off

Servers now fall silent in turns, brokers are held up before more of their writes, zones are cut off, and half of the fleets have a window of 0.4 s for keyed queries.

--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -337,7 +337,7 @@
         brokers: scenario.brokers,
         cells: scenario.cells as u32,
         width: scenario.width as u32,
-        window: options.window,
+        window: options.window.min(scenario.window),
         read_lag: scenario.tile.read_lag,
         pushed: !scenario.on_request,
         indented: scenario.indented,
--- a/crates/fleet/src/run/settings.rs
+++ b/crates/fleet/src/run/settings.rs
@@ -51,7 +51,7 @@
         .map(|(class, credit)| {
             json!({"name": class.name, "effect": class.effect, "credit": credit,
                 "lateShare": 0.3, "aimNs": class.aim.as_nanos() as u64,
-                "deadlineNs": class.deadline.as_nanos() as u64, "windowNs": WINDOW.as_nanos() as u64})
+                "deadlineNs": class.deadline.as_nanos() as u64, "windowNs": scenario.window.as_nanos() as u64})
         })
         .collect();
     let zones: Vec<String> = (0..scenario.zones).map(|zone| format!("z{zone}")).collect();
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -69,6 +69,8 @@
     pub unsafe_share: f64,
     /// Share of the queries whose clients leave before they are answered, write slowly, or stop in mid-request.
     pub unruly: f64,
+    /// The window in which servers drop a repeat of a keyed query.
+    pub window: Duration,
     /// A broker that was told to end is killed as early as the platform may; else it is held for hanging after a while.
     pub kills_early: bool,
     /// The timeline, in the file's order.
--- a/crates/fleet/src/scenario/file.rs
+++ b/crates/fleet/src/scenario/file.rs
@@ -11,6 +11,8 @@
 
 /// Longest time for which a broker is held up, in milliseconds.
 const MAX_HOLD_MS: f64 = 1000.0;
+/// The window of keyed queries, in milliseconds.
+const WINDOW_MS: f64 = 5000.0;
 /// Longest time between two signals of a series, in milliseconds.
 const MAX_SIGNAL_GAP_MS: f64 = 60_000.0;
 /// Most connections of a crowd to one broker.
@@ -40,6 +42,7 @@
     unruly: Option<Spanned<f64>>,
     #[serde(default)]
     kills_early: bool,
+    window_ms: Option<Spanned<f64>>,
     #[serde(default)]
     tile: TileFile,
     #[serde(default)]
@@ -241,6 +244,9 @@
                 .as_ref()
                 .map_or(0.0, |v| checks.figure("tile.read_lag_ms", v, 0.0, 1000.0))),
         };
+        let window = file.window_ms.as_ref();
+        let window = window.map_or(WINDOW_MS, |value| checks.figure("window_ms", value, 1.0, 60_000.0));
+        let window = ms(window);
         let mut events = Vec::new();
         for (n, event) in file.events.iter().enumerate() {
             let at = checks.seconds(&format!("events[{n}].at"), &event.at);
@@ -276,6 +282,7 @@
             pooled,
             unsafe_share,
             unruly,
+            window,
             kills_early: file.kills_early,
             events,
         };
--- a/crates/fleet/src/soak.rs
+++ b/crates/fleet/src/soak.rs
@@ -70,16 +70,17 @@
     fn fleet(&mut self, seed: u64) {
         let cells = self.rng.random_range(2..=4);
         let (brokers, servers) = (self.rng.random_range(3..=6), cells * 2);
-        let rate = self.between(10.0, 30.0);
+        let rate = self.between(15.0, 30.0);
         let (zones, parts) = (self.rng.random_range(1..=2), self.rng.random_range(2..=5));
         let [on_request, indented, store] = [0.5, 0.2, 0.2].map(|share| self.chance(share));
         let (pooled, unruly) = (self.chance(0.8), if self.chance(0.5) { 0.1 } else { 0.0 });
         let (cold, service) = (self.between(1.0, 4.0), self.between(5.0, 25.0));
-        let read_lag = self.one(&["0", "2", "30"]);
+        let read_lag = self.one(&["0", "30", "30"]);
+        let window = self.one(&["5000", "400"]);
         self.drawn.text = format!(
             "brokers: {brokers}\nservers: {servers}\nzones: {zones}\ncells: {cells}\nrate: {rate:.1}\n\
              parts: {parts}\nseconds: {SECONDS}\nseed: {seed}\non_request: {on_request}\nindented: {indented}\n\
-             store: {store}\npooled: {pooled}\nunsafe_share: 0.15\nunruly: {unruly}\nkills_early: true\n\
+             store: {store}\npooled: {pooled}\nunsafe_share: 0.15\nunruly: {unruly}\nkills_early: true\nwindow_ms: {window}\n\
              tile: {{cold_s: {cold:.1}, service_ms: {service:.1}, read_lag_ms: {read_lag}}}\nevents:\n"
         );
     }
@@ -125,10 +126,10 @@
     }
 
     fn brokers_troubles(&mut self, quiet: f64) {
-        if self.chance(0.5) {
-            let (at, by) = (quiet + self.between(0.0, 3.0), self.between(50.0, 140.0));
-            let (share, every) = (self.between(0.3, 1.0), self.rng.random_range(2..=8));
-            let fields = format!("share: {share:.2}, by_ms: {by:.0}, every: {every}, for_s: 5");
+        if self.chance(0.6) {
+            let (at, by) = (quiet + self.between(0.0, 1.0), self.between(80.0, 140.0));
+            let (share, every) = (self.between(0.5, 1.0), self.rng.random_range(1..=4));
+            let fields = format!("share: {share:.2}, by_ms: {by:.0}, every: {every}, for_s: 8");
             self.event(at, "hold", &fields);
         }
         if self.chance(0.3) {
@@ -144,11 +145,21 @@
 
     fn faults_around(&mut self, quiet: f64) {
         let before = self.drawn.events.len();
+        // Servers that fall silent in turns make brokers give parts up, and send them elsewhere.
         if self.chance(0.5) {
+            for turn in [1.0, 2.5, 4.0] {
+                self.event(quiet + turn, "servers", "share: 0.5, manner: swallow, for_s: 1");
+            }
+        } else if self.chance(0.5) {
             let (at, lasts) = (quiet + self.between(0.0, 5.0), self.between(0.5, 4.5));
             let (share, manner) = (self.between(0.2, 0.5), self.one(&MANNERS));
             self.event(at, "servers", &format!("share: {share:.2}, manner: {manner}, for_s: {lasts:.2}"));
         }
+        if self.chance(0.3) {
+            let (at, lasts) = (quiet + self.between(0.0, 4.0), self.between(0.5, 3.0));
+            let one_way = self.chance(0.5);
+            self.event(at, "partition", &format!("zone: 0, one_way: {one_way}, for_s: {lasts:.2}"));
+        }
         if self.chance(0.25) {
             let (at, share, within) =
                 (quiet + self.between(0.0, 3.0), self.between(0.2, 0.5), self.between(1.0, 3.0));
@@ -229,6 +240,7 @@
             "kill",
             "late",
             "network",
+            "partition",
             "reload",
             "replace",
             "roll",
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -476,3 +476,24 @@
     }
     let _ = std::fs::remove_file(&once);
 }
+
+const STORED: &str = "
+brokers: 3
+servers: 4
+cells: 2
+rate: 10
+seconds: 6
+store: true
+events:
+  - {at: 1, upgrade: {share: 1, every_s: 1}}
+";
+
+// What was seen: a broker with a store could not be upgraded; the new process ended with exit code 1. Why: one process alone
+// may have a store open, and the new process opened it while the old one ran.
+#[test]
+fn brokers_with_a_store_are_upgraded() {
+    let record = fleet("stored", STORED, |_| {});
+    assert_eq!(rules(&record), [""; 0], "{:?}", record.broken);
+    assert_eq!(record.upgrades.len(), 3);
+    assert!(record.upgrades.iter().all(|upgrade| upgrade.ready_s.is_some()), "{:?}", record.upgrades);
+}
--- a/tests/fleet/soak.rs
+++ b/tests/fleet/soak.rs
@@ -33,6 +33,6 @@
     seed_4: 4,
     seed_5: 5,
     seed_6: 6,
-    seed_13: 13,
-    seed_15: 15,
+    seed_7: 7,
+    seed_8: 8,
 }
