--- a/crates/core/src/decide/snapshot.rs
+++ b/crates/core/src/decide/snapshot.rs
@@ -301,11 +301,7 @@
 impl Node {
     fn snapshot(&self, now: Time) -> Snapshot {
         let classes = self.settings.classes.iter().zip(&self.classes);
-        let overdue = self.overdue(now);
-        let server = |(id, server): (&ServerId, &Server)| {
-            let overdue = overdue.get(id).copied().unwrap_or_default();
-            (*id, self.server_snapshot(server, overdue, now))
-        };
+        let server = |(id, server): (&ServerId, &Server)| (*id, self.server_snapshot(*id, server, now));
         Snapshot {
             version: VERSION,
             stepped: Age::of(now, self.now),
@@ -323,22 +319,10 @@
         }
     }
 
-    /// For each server with overdue attempts out: the age of the oldest, in units.
-    fn overdue(&self, now: Time) -> BTreeMap<ServerId, f64> {
-        let mut oldest = BTreeMap::<ServerId, f64>::new();
-        for attempt in self.attempts.values().filter(|attempt| !attempt.left) {
-            let age = now.since(attempt.sent).as_secs_f64() / self.unit;
-            if age > attempt.due {
-                let known = oldest.entry(attempt.server).or_default();
-                *known = known.max(age);
-            }
-        }
-        oldest
-    }
-
     /// A server's state, with the age of its oldest overdue attempt. That attempt's end will be told to this process
     /// alone: to the other one its age is a lower bound, as that of an attempt which ended unserved.
-    fn server_snapshot(&self, server: &Server, overdue: f64, now: Time) -> ServerSnapshot {
+    fn server_snapshot(&self, id: ServerId, server: &Server, now: Time) -> ServerSnapshot {
+        let overdue = self.out.get(&id).map_or(0.0, |out| out.overdue);
         let cold_start = now.before(self.settings.cold.window);
         let cold_sends = server.cold_sends.iter().filter(|(sent, _)| *sent >= cold_start);
         ServerSnapshot {
