Fleet tests share one split scenario, and fleet run and soak one choice of the program

The held-up scenario was the split one with a seed and one event more, in its place before the others, so that the same is drawn.

--- a/src/bin/badgergauge/fleet.rs
+++ b/src/bin/badgergauge/fleet.rs
@@ -1,6 +1,7 @@
 //! `fleet`: brokers as processes with faults between them, and the report of a run.
 
 use std::fs;
+use std::io;
 use std::path::{Path, PathBuf};
 
 use badgergauge_fleet::record::Record;
@@ -89,6 +90,11 @@
     Scenario::read(path, &text).map_err(|faults| faults.iter().map(ToString::to_string).collect())
 }
 
+/// The broker's program: the one that is given, or this one.
+pub fn broker_program(given: Option<&Path>) -> io::Result<PathBuf> {
+    given.map_or_else(std::env::current_exe, fs::canonicalize)
+}
+
 fn play(arguments: &Run) -> Result<u8, Vec<String>> {
     let plain = |error: std::io::Error| vec![error.to_string()];
     let mut scenario = read(&arguments.scenario)?;
@@ -96,10 +102,7 @@
         scenario.brokers = usize::from(brokers);
     }
     scenario.seed = arguments.seed.unwrap_or(scenario.seed);
-    let program = match &arguments.program {
-        Some(program) => fs::canonicalize(program).map_err(plain)?,
-        None => std::env::current_exe().map_err(plain)?,
-    };
+    let program = broker_program(arguments.program.as_deref()).map_err(plain)?;
     let name = arguments.scenario.file_stem().map_or_else(String::new, |stem| stem.display().to_string());
     let mut options = Options::new(&program, &arguments.out, &name);
     options.trace = arguments.trace;
--- a/src/bin/badgergauge/soak.rs
+++ b/src/bin/badgergauge/soak.rs
@@ -10,6 +10,7 @@
 use badgergauge_fleet::run::Options;
 use badgergauge_fleet::soak::{self, Outcome};
 
+use crate::fleet::broker_program;
 use crate::{BROKEN, DONE};
 
 /// Cores that a fleet keeps busy at its peaks.
@@ -47,10 +48,7 @@
 ///
 /// When the harness can't do its part, for any of the seeds.
 pub fn run(arguments: &Soak) -> io::Result<u8> {
-    let program = match &arguments.program {
-        Some(program) => fs::canonicalize(program)?,
-        None => std::env::current_exe()?,
-    };
+    let program = broker_program(arguments.program.as_deref())?;
     let (first, seeds) = match arguments.seed {
         Some(seed) => (seed, 1),
         None => (arguments.first, arguments.seeds),
--- a/tests/fleet/held_up.rs
+++ b/tests/fleet/held_up.rs
@@ -11,26 +11,12 @@
 //! What showed it: with the moment read after the write alone, the six plays below still had 3, 0, 2, 3, 2 and 0 parts out
 //! twice; with the moment read after the close as well they have none, and neither have 60 others (seeds 1 to 23).
 
-use crate::{fleet, rules, sum};
+use crate::{SPLIT, fleet, rules, sum};
 
-const HELD_UP: &str = "
-brokers: 8
-servers: 6
-zones: 2
-cells: 3
-rate: 15
-seconds: 9
-seed: SEED
-tile: {read_lag_ms: LAG}
+/// Each broker is held up from the start on; before that, the seed.
+const HOLD: &str = "seed: SEED
 events:
   - {at: 0, hold: {share: 1, by_ms: 100, every: 4, for_s: 9}}
-  - {at: 2, servers: {share: 0.5, manner: swallow, for_s: 1}}
-  - {at: 3.5, servers: {share: 0.5, manner: swallow, for_s: 1}}
-  - {at: 5, servers: {share: 0.5, manner: swallow, for_s: 1}}
-  - {at: 2, late: {by_s: 2, for_s: 4}}
-  - {at: 3, partition: {zone: 1, for_s: 3}}
-  - {at: 2, network: {delay_ms: 1, jitter_ms: 3, reset: 0.01, for_s: 1}}
-  - {at: 6.5, network: {reset: 0.01, for_s: 1}}
 ";
 
 // Each broker is held up for 100 ms right before every fourth write that gives a part up, while servers swallow parts by
@@ -40,7 +26,9 @@
     std::thread::scope(|scope| {
         for (lag_ms, seed) in [(30, 1), (30, 2), (30, 3), (2, 1), (2, 2), (2, 3)] {
             scope.spawn(move || {
-                let scenario = HELD_UP.replace("LAG", &lag_ms.to_string()).replace("SEED", &seed.to_string());
+                let scenario = SPLIT.replace("events:\n", HOLD);
+                let scenario =
+                    scenario.replace("LAG", &lag_ms.to_string()).replace("SEED", &seed.to_string());
                 let record = fleet(&format!("held-up-{lag_ms}-{seed}"), &scenario, |_| {});
                 assert_eq!(rules(&record), [""; 0], "lag {lag_ms} ms, seed {seed}: {:?}", record.broken);
                 let lost = sum(&record, |row| row.parts_lost);
