--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -5,8 +5,8 @@
 mod hold;
 mod settings;
 mod upgrade;
+mod wires;
 
-use std::collections::BTreeMap;
 use std::fs;
 use std::io;
 use std::net::{SocketAddr, TcpStream, UdpSocket};
@@ -15,8 +15,7 @@
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::time::{Duration, Instant};
 
-use badgergauge_standin::model::Figures;
-use badgergauge_standin::world::{Placed, Setting, Tell as WorldTell, World};
+use badgergauge_standin::world::{Tell as WorldTell, World};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
@@ -29,8 +28,9 @@
 use crate::proxy::{Builder, Link, Proxy, Rule, Tell as ProxyTell};
 use crate::record::{self, Broken, Gathered, Record, Used};
 use crate::scenario::{Fault, Scenario};
-use crate::schedule::{Act, Links, Schedule, zone_of};
-use settings::{WINDOW, blocks, classes, settings};
+use crate::schedule::{Act, Links, Schedule};
+use settings::{WINDOW, blocks, classes, placed, setting, settings};
+use wires::Wires;
 
 /// A broker that has not come up in this time has not started.
 const STARTS_IN: Duration = Duration::from_secs(20);
@@ -109,48 +109,6 @@
     }
 }
 
-/// All links of the fleet, by what they join.
-#[derive(Default)]
-struct Wires {
-    /// By broker and server.
-    tiles: Vec<Vec<Link>>,
-    /// By broker: as it is at the start, and where discovery moves to.
-    lists: Vec<[Link; 2]>,
-    list_at: Vec<[SocketAddr; 2]>,
-    /// From a broker to another.
-    words: BTreeMap<(usize, usize), Link>,
-    /// Where each broker sends word for each other.
-    word_at: BTreeMap<(usize, usize), SocketAddr>,
-    /// Where each broker hears word.
-    hears: Vec<SocketAddr>,
-    /// Where each broker finds each server.
-    tile_at: Vec<Vec<SocketAddr>>,
-}
-
-impl Wires {
-    fn choose(&self, links: &Links, scenario: &Scenario) -> Vec<Link> {
-        let zone = |number: usize| zone_of(number, scenario.zones);
-        match links {
-            Links::All => {
-                let lists = self.lists.iter().flatten();
-                self.tiles.iter().flatten().chain(lists).chain(self.words.values()).copied().collect()
-            }
-            Links::Servers(servers) => {
-                self.tiles.iter().flat_map(|of| servers.iter().map(|server| of[*server])).collect()
-            }
-            Links::AcrossZone(cut) => {
-                let across = |one: usize, other: usize| (zone(one) == *cut) != (zone(other) == *cut);
-                let tiles = self.tiles.iter().enumerate().flat_map(|(broker, of)| {
-                    let of = of.iter().enumerate().filter(move |(server, _)| across(broker, *server));
-                    of.map(|(_, link)| *link)
-                });
-                let words = self.words.iter().filter(|((from, to), _)| across(*from, *to));
-                tiles.chain(words.map(|(_, link)| *link)).collect()
-            }
-        }
-    }
-}
-
 /// A broker of the fleet.
 #[derive(Default)]
 struct Broker {
@@ -311,40 +269,6 @@
     fleet.play(&schedule)
 }
 
-fn placed(scenario: &Scenario, server: usize, cell: usize, up: bool) -> Placed {
-    let (name, zone) = (format!("t{server:03}"), format!("z{}", zone_of(server, scenario.zones)));
-    Placed { name, zone, cell: cell as u32, up }
-}
-
-fn setting(scenario: &Scenario, options: &Options, schedule: &Schedule) -> Setting {
-    let first = (0..scenario.servers).map(|server| (server, server % scenario.cells, true));
-    let later = schedule.later.iter().enumerate();
-    let later = later.map(|(n, cell)| (scenario.servers + n, *cell, false));
-    let placed = first.chain(later).map(|(server, cell, up)| placed(scenario, server, cell, up));
-    Setting {
-        figures: Figures {
-            workers: scenario.tile.workers,
-            service: scenario.tile.service,
-            queue: scenario.tile.queue,
-            connections: scenario.tile.connections,
-            cold_from: scenario.tile.cold_from,
-            cold_for: scenario.tile.cold_for,
-            fall_multiple: scenario.tile.fall_multiple,
-            window: Duration::from_secs(1),
-            down_for: Duration::from_secs(1),
-        },
-        servers: placed.collect(),
-        brokers: scenario.brokers,
-        cells: scenario.cells as u32,
-        width: scenario.width as u32,
-        window: options.window.min(scenario.window),
-        read_lag: scenario.tile.read_lag,
-        pushed: !scenario.on_request,
-        indented: scenario.indented,
-        seed: scenario.seed,
-    }
-}
-
 impl Fleet<'_> {
     fn now(&self) -> Duration {
         self.base.elapsed()
--- a/crates/fleet/src/run/settings.rs
+++ b/crates/fleet/src/run/settings.rs
@@ -1,13 +1,17 @@
-//! The settings that the harness's platform gives a broker, and the classes that its clients ask.
+//! The settings that the harness's platform gives a broker, what it tells the stand-ins, and the classes that its clients
+//! ask.
 
 use std::time::Duration;
 
 use badgergauge_standin::ledger;
+use badgergauge_standin::model::Figures;
+use badgergauge_standin::world::{Placed, Setting};
 use serde_json::{Value, json};
 
+use super::Options;
 use crate::load::{Class, Effect};
 use crate::scenario::Scenario;
-use crate::schedule::zone_of;
+use crate::schedule::{Schedule, zone_of};
 
 /// The window of keyed queries.
 pub const WINDOW: Duration = Duration::from_secs(5);
@@ -72,3 +76,39 @@
 pub fn blocks(scenario: &Scenario) -> u32 {
     scenario.cells as u32 * 4
 }
+
+/// A server as it stands in lists.
+pub fn placed(scenario: &Scenario, server: usize, cell: usize, up: bool) -> Placed {
+    let (name, zone) = (format!("t{server:03}"), format!("z{}", zone_of(server, scenario.zones)));
+    Placed { name, zone, cell: cell as u32, up }
+}
+
+/// What the stand-ins are told of the fleet.
+pub fn setting(scenario: &Scenario, options: &Options, schedule: &Schedule) -> Setting {
+    let first = (0..scenario.servers).map(|server| (server, server % scenario.cells, true));
+    let later = schedule.later.iter().enumerate();
+    let later = later.map(|(n, cell)| (scenario.servers + n, *cell, false));
+    let placed = first.chain(later).map(|(server, cell, up)| placed(scenario, server, cell, up));
+    Setting {
+        figures: Figures {
+            workers: scenario.tile.workers,
+            service: scenario.tile.service,
+            queue: scenario.tile.queue,
+            connections: scenario.tile.connections,
+            cold_from: scenario.tile.cold_from,
+            cold_for: scenario.tile.cold_for,
+            fall_multiple: scenario.tile.fall_multiple,
+            window: Duration::from_secs(1),
+            down_for: Duration::from_secs(1),
+        },
+        servers: placed.collect(),
+        brokers: scenario.brokers,
+        cells: scenario.cells as u32,
+        width: scenario.width as u32,
+        window: options.window.min(scenario.window),
+        read_lag: scenario.tile.read_lag,
+        pushed: !scenario.on_request,
+        indented: scenario.indented,
+        seed: scenario.seed,
+    }
+}
