Abort silent connections on which a part with an effect was cancelled

Callers saw an effect done twice: a keyed part was executed again 837 to 890 ms after its first execution, with a window of 400 ms.

Cause: a part written into a network partition stays with the system, which delivers it when the partition ends, also after a cancellation frame, an orderly close or the end of the process. By then the part had been executed by another server.

Fix: where a server may be unreachable, the connection is aborted in place of a cancellation frame, so that the system discards what the server has not received. The part goes out again only after that. Connections abort at the end of the process too, unless no written part is in flight on them. Safe classes are cancelled as before.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -101,6 +101,8 @@
     pub idempotency_key: Option<Arc<str>>,
     /// Request body.
     pub body: Arc<str>,
+    /// Whether the part may be executed more than once.
+    pub retry_safety: RetrySafety,
     /// Aim of the query's class.
     pub aim: Duration,
     /// When the broker stops waiting for the answer.
@@ -723,7 +725,8 @@
         let number = entry.attempts;
         entry.attempts += 1;
         let class = open.class;
-        let start_before = match self.settings.router.classes[class].retry_safety {
+        let retry_safety = self.settings.router.classes[class].retry_safety;
+        let start_before = match retry_safety {
             RetrySafety::Keyed(window) => {
                 open.parts[entry.index].may_have_run.map(|first| first.after(window))
             }
@@ -737,6 +740,7 @@
             shard: open.parts[entry.index].shard,
             idempotency_key: open.idempotency_key.clone(),
             body: open.body.clone(),
+            retry_safety,
             aim: self.settings.router.classes[class].aim,
             deadline: now.after(timeout).min(open.ends_at),
             start_before,
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -99,6 +99,8 @@
     attempts: HashMap<AttemptId, usize>,
     /// Connections with something queued since the last flush.
     unflushed: Vec<usize>,
+    /// Silent connections on which a part with an effect was cancelled; the next flush aborts them.
+    to_abort: Vec<usize>,
     step: u64,
     connect_time: ConnectTime,
     probe_counts: ProbeCounts,
@@ -130,6 +132,7 @@
             connections: HashMap::new(),
             attempts: HashMap::new(),
             unflushed: Vec::new(),
+            to_abort: Vec::new(),
             step: 0,
             probe_counts: ProbeCounts::default(),
             relayed: 0,
@@ -208,6 +211,7 @@
         let part = PartState {
             attempt,
             silence_limit,
+            has_effect: send.retry_safety != RetrySafety::Safe,
             written_at: None,
             cancelled_at: None,
             cancel_written_at: None,
@@ -299,6 +303,9 @@
     pub fn flush(&mut self, net: &mut Net, now: Time) -> FlushStatus {
         self.now = self.now.max(now);
         self.step += 1;
+        for key in std::mem::take(&mut self.to_abort) {
+            self.abort_connection(net, key);
+        }
         let mut unflushed = std::mem::take(&mut self.unflushed).into_iter();
         let mut status = FlushStatus::Complete;
         while status == FlushStatus::Complete
@@ -453,6 +460,7 @@
     fn close_connection(&mut self, net: &Net, key: usize, closed_by: ClosedBy) {
         let Some(connection) = self.connections.remove(&key) else { return };
         net.poll.remove(&connection.stream);
+        connection.prepare_close();
         drop(connection.stream);
         // As with writes, the close is known to have happened only now; the loop's reading of the clock may
         // be old.
@@ -518,6 +526,7 @@
                 if let Some(server) = self.servers.get_mut(&server) {
                     server.last_answered_written = server.last_answered_written.max(written_at);
                 }
+                connection.answered_written = connection.answered_written.max(written_at);
                 // The response to a cancelled attempt is discarded: its outcome is settled.
                 if part.cancelled_at.is_none() && self.attempts.remove(&part.attempt).is_some() {
                     self.completions.push(Completion::Attempt {
@@ -535,6 +544,7 @@
                 if let Some(server) = self.servers.get_mut(&server) {
                     server.last_answered_written = server.last_answered_written.max(queued_at);
                 }
+                connection.answered_written = connection.answered_written.max(queued_at);
                 let (verdict, load) = match payload {
                     b"broke" => (Verdict::Error, LoadReport::default()),
                     report => (Verdict::Served, parse_load_report(&String::from_utf8_lossy(report))),
--- a/src/backend/cancel.rs
+++ b/src/backend/cancel.rs
@@ -1,10 +1,12 @@
 //! Cancellation of attempts. An attempt of which nothing is written is withdrawn at once; the outcome of any
-//! other is withheld until its server has had time to read the cancellation.
+//! other is withheld until its server has had time to read the cancellation. Where a server may be
+//! unreachable, the connection is aborted, so that no attempt with an effect is delivered late.
 
 use std::time::Duration;
 
+use super::connection::Connection;
 use super::frame::Frame;
-use super::{Backend, Completion, complete};
+use super::{Backend, ClosedBy, Completion, complete};
 use crate::core::AttemptId;
 use crate::interface::{LoadReport, Time, Verdict};
 use crate::net::{Net, TimerEvent};
@@ -39,13 +41,41 @@
         };
         part.cancelled_at = Some(now);
         let since = part.written_at.unwrap_or(now).max(connection.last_received);
-        connection.suspect |= now.since(since) >= part.silence_limit;
-        connection.queued.push_back(Frame::Cancel(wire_id.clone()));
+        let is_silent = now.since(since) >= part.silence_limit;
+        connection.suspect |= is_silent;
         let wire_id = wire_id.clone();
-        self.unflushed.push(key);
+        if is_silent && part.has_effect {
+            self.to_abort.push(key);
+        } else {
+            connection.queued.push_back(Frame::Cancel(wire_id.clone()));
+            self.unflushed.push(key);
+        }
         self.withhold(attempt, verdict, key, wire_id, now.after(CANCEL_READ_ALLOWANCE));
     }
 
+    /// Closes silent connections on which a part with an effect was cancelled before they fell silent.
+    pub(super) fn abort_undelivered(&mut self, net: &Net, now: Time) {
+        let undelivered = |(key, connection): (&usize, &Connection)| {
+            connection.has_undelivered_cancellation(now).then_some(*key)
+        };
+        for key in self.connections.iter().filter_map(undelivered).collect::<Vec<_>>() {
+            self.abort_connection(net, key);
+        }
+    }
+
+    /// Closes a connection whose server may be unreachable, so that a cancelled part that has not reached it
+    /// is discarded. A cancellation frame would only follow the part, which the server executes when the
+    /// network delivers it: possibly long after the part was executed elsewhere, or its client was told that
+    /// it failed.
+    pub(super) fn abort_connection(&mut self, net: &Net, key: usize) {
+        let Some(connection) = self.connections.get(&key) else { return };
+        tracing::debug!(
+            "aborting a silent connection to a tile server with {} parts in flight: one of them was cancelled",
+            connection.active_parts(),
+        );
+        self.close_connection(net, key, ClosedBy::Broker);
+    }
+
     /// Withdraws an attempt if nothing of it has been written, so that it never runs.
     pub fn withdraw(&mut self, now: Time, attempt: AttemptId) {
         self.now = self.now.max(now);
--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -6,6 +6,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+use socket2::SockRef;
+
 use super::frame::{Frame, MAX_FRAME_BYTES, encode};
 use super::liveness::DEAD_SILENCE_MULTIPLE;
 use crate::config::settings::SiteSettings;
@@ -23,6 +25,8 @@
     /// The connection is suspect once nothing has been received for this long. Derived from the aim of the
     /// part's own class, as a server may work on a part of one class for longer than the aim of another.
     pub(super) silence_limit: Duration,
+    /// Whether each execution of it counts, so that no attempt may be executed late: its class is not safe.
+    pub(super) has_effect: bool,
     /// When the last byte of its frame was written; from then on it may run.
     pub(super) written_at: Option<Time>,
     /// When it was cancelled: its outcome is settled, but a response may still arrive.
@@ -50,6 +54,9 @@
     pub(super) partial_since: Option<Time>,
     /// Since when a frame has been partially written without any progress.
     write_blocked_since: Option<Time>,
+    /// When the latest written of the parts answered on it was written: its server has read everything that
+    /// was written before.
+    pub(super) answered_written: Time,
     /// Id on the wire of the part answered last, whose response may be duplicated.
     pub(super) last_answered: String,
     /// Parts by their id on the wire, which is the same for all attempts of a part.
@@ -89,6 +96,7 @@
             received: Vec::new(),
             partial_since: None,
             write_blocked_since: None,
+            answered_written: Time(0),
             last_answered: String::new(),
             parts: HashMap::new(),
             probes: VecDeque::new(),
@@ -143,6 +151,27 @@
         })
     }
 
+    /// Whether a part with an effect was cancelled, its server has not shown that it read the cancellation,
+    /// and nothing has been received for the part's silence limit. The network may then still deliver the
+    /// part, much later, unless the connection is aborted.
+    pub(super) fn has_undelivered_cancellation(&self, now: Time) -> bool {
+        self.parts.values().filter(|part| part.has_effect && part.cancelled_at.is_some()).any(|part| {
+            let Some(written_at) = part.written_at else { return false };
+            let is_read = part.cancel_written_at.is_some_and(|at| at <= self.answered_written);
+            !is_read && now.since(written_at.max(self.last_received)) >= part.silence_limit
+        })
+    }
+
+    /// Makes the close of the connection an orderly one if no part on it can be executed any more. Until
+    /// then, its close or the end of the process aborts it: the system discards what the server has not
+    /// received, which it would otherwise go on delivering.
+    pub(super) fn prepare_close(&self) {
+        if self.parts.values().all(|part| part.written_at.is_none()) {
+            // If this fails, the server sees a reset in place of an orderly end.
+            let _ = SockRef::from(&self.stream).set_linger(None);
+        }
+    }
+
     /// Whether a frame is partially written and its server has neither read more of it nor sent anything for
     /// a multiple of the longest silence limit of the parts. Such a frame can't be withdrawn: its parts,
     /// which never start, are completed only by closing the connection.
--- a/src/backend/liveness.rs
+++ b/src/backend/liveness.rs
@@ -48,6 +48,7 @@
             self.close_connection(net, key, ClosedBy::Broker);
         }
         self.close_write_blocked(net, now);
+        self.abort_undelivered(net, now);
         self.probe_silent_connections(net, now);
     }
 
--- a/src/backend/selection.rs
+++ b/src/backend/selection.rs
@@ -1,5 +1,9 @@
 //! Selects the connection that carries a part, and decides when to open a further one.
 
+use std::time::Duration;
+
+use socket2::SockRef;
+
 use super::connection::Connection;
 use super::connection_losses::LOSSES_HALF_LIFE_AIMS;
 use super::frame::Frame;
@@ -102,6 +106,8 @@
     pub(super) fn open_connection(&mut self, net: &mut Net, now: Time, id: ServerId) -> Option<usize> {
         let address = self.servers.get(&id)?.address;
         let stream = crate::net::connect(address).ok()?;
+        // Whenever the connection ends, also by the end of the process, no part on it may be delivered later.
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).ok()?;
         let key = net.new_key();
         net.poll.add(&stream, key, true, true).ok()?;
         net.timers.arm(now.after(self.connect_time.timeout()), TimerEvent::ConnectTimeout(key));
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Runs fleets of broker processes under faults. Each test asserts figures of the whole fleet, and most also
 //! run the fleet without the mechanism under test to show that the check then fails.
 
+mod cuts;
 mod held_up;
 mod soak;
 
