Fault proxy: a reset during a cut drops what has not crossed it

The proxy left a sender's bytes unread during a cut. A sender that reset its connection meanwhile was reported by the poller again and again, and in a one-way cut a failed write to it told the other side of the reset across the cut.

Now bytes are read and kept during a cut. An orderly close forwards them when the cut ends, as a system goes on sending them; a reset drops them, and the other side learns of it only when the cut ends.

Tests: what arrives after a cut, both ways of closing, full and one-way; and a broker that closes normally or sends a cancellation behind the part is found to do an effect twice (Doubled), one that aborts is not.

--- a/crates/fleet/src/proxy.rs
+++ b/crates/fleet/src/proxy.rs
@@ -45,8 +45,9 @@
     pub reset: f64,
     /// Bytes per second read from each side; unlimited if none.
     pub rate: Option<u64>,
-    /// Whether nothing is forwarded from the side that connected to the other. Bytes sent meanwhile stay
-    /// queued, as in a partitioned network.
+    /// Whether nothing is forwarded from the side that connected to the other. Bytes sent meanwhile, and an
+    /// orderly end, are forwarded once the cut is over, as the sender's system keeps sending them. If the
+    /// sender resets the connection meanwhile, they are dropped, and the other side learns of it only then.
     pub cut_there: bool,
     /// Whether nothing is forwarded back to the side that connected.
     pub cut_back: bool,
@@ -227,6 +228,8 @@
     ended: bool,
     /// Whether the shutdown was forwarded to the receiver.
     end_forwarded: bool,
+    /// Whether the sender reset the connection while this direction was cut.
+    reset_unseen: bool,
 }
 
 /// A forwarded connection: the client's, and the proxy's own to the target.
@@ -452,24 +455,40 @@
         let now = self.start.elapsed();
         let Some(connection) = self.connections.get_mut(&key) else { return };
         let rule = self.rules[connection.link];
+        let cuts = [rule.cut_there, rule.cut_back];
         let [client, target] = &connection.streams;
         let mut broken = false;
         let mut next_due: Option<Duration> = None;
         // By stream: whether to wait until it is readable, and until it is writable.
         let mut interest = [[false; 2]; 2];
         for (n, (from, to)) in [(client, target), (target, client)].into_iter().enumerate() {
-            let flow = &mut connection.flows[n];
-            let cut = if n == 0 { rule.cut_there } else { rule.cut_back };
-            if !cut && !broken {
-                broken |= flow.read(from, now, &rule, &mut self.rng);
+            let cut = cuts[n];
+            if broken {
+                break;
             }
-            if !cut && !broken {
-                match flow.write(to, now) {
+            if connection.flows.iter().any(|flow| flow.reset_unseen) {
+                // Nobody reads or sends on the side that was reset.
+                broken |= connection.flows[n].reset_unseen && !cut;
+                continue;
+            }
+            if connection.flows[n].read(from, now, &rule, &mut self.rng)
+                || matches!(from.take_error(), Ok(Some(_)))
+            {
+                broken |= connection.flows[n].on_reset(cut);
+                continue;
+            }
+            if !cut {
+                match connection.flows[n].write(to, now) {
                     Ok(blocked) => interest[1 - n][1] |= blocked,
-                    Err(_) => broken = true,
+                    // The receiver has reset the connection, which its sender learns in the other direction.
+                    Err(_) => {
+                        broken |= connection.flows[1 - n].on_reset(cuts[1 - n]);
+                        continue;
+                    }
                 }
             }
-            let open = !cut && !flow.ended && flow.buffered_bytes < MAX_BUFFERED_BYTES;
+            let flow = &connection.flows[n];
+            let open = !flow.ended && flow.buffered_bytes < MAX_BUFFERED_BYTES;
             interest[n][0] |= open && flow.read_at <= now;
             if !cut {
                 let chunk = flow.chunks.front().map(|(at, _)| *at).filter(|at| *at > now);
@@ -483,6 +502,10 @@
         if connection.flows.iter().all(|flow| flow.end_forwarded) {
             return self.drop_connection(key, false);
         }
+        if connection.flows.iter().any(|flow| flow.reset_unseen) {
+            // The poller reports a stream that was reset again and again; the end of the cut continues here.
+            return;
+        }
         for ((stream, key), [read, write]) in connection.streams.iter().zip(connection.keys).zip(interest) {
             let _ = self.poll.rearm(stream, key, read, write);
         }
@@ -527,6 +550,17 @@
         false
     }
 
+    /// Handles a reset by the sender. Returns whether it reaches the receiver: while the direction is cut, it
+    /// does not, and what has not crossed the cut is dropped.
+    fn on_reset(&mut self, cut: bool) -> bool {
+        if cut {
+            self.reset_unseen = true;
+            self.chunks.clear();
+            self.buffered_bytes = 0;
+        }
+        !cut
+    }
+
     /// Writes what is due. Returns whether the receiver accepts no more for now.
     fn write(&mut self, mut to: &TcpStream, now: Duration) -> io::Result<bool> {
         while let Some((_, chunk)) = self.chunks.front_mut().filter(|(at, _)| *at <= now) {
--- a/crates/fleet/tests/faults.rs
+++ b/crates/fleet/tests/faults.rs
@@ -90,6 +90,83 @@
     assert!(receives_nothing(&client), "data passed a cut link");
 }
 
+// A sender's system keeps sending what was written before an orderly close, and discards it after a reset.
+#[test]
+fn after_a_cut_what_was_written_arrives_unless_the_connection_was_reset() {
+    for reset in [false, true] {
+        for cut in [Rule::cut(), Rule { cut_back: false, ..Rule::cut() }] {
+            let (server, proxy, link, at) = proxied_server();
+            let (mut client, mut peer) = connect(&server, at);
+            client.write_all(b"a").expect("written");
+            assert_eq!(read_byte(&peer, TIMEOUT).expect("received"), b'a');
+            proxy.send(ProxyCommand::SetRule(vec![link], cut));
+            wait_until(|| TcpStream::connect_timeout(&at, NO_DATA_WAIT).is_err());
+            client.write_all(b"b").expect("buffered by the system");
+            if reset {
+                socket2::SockRef::from(&client).set_linger(Some(Duration::ZERO)).expect("set");
+            }
+            drop(client);
+            assert!(receives_nothing(&peer), "data or a reset passed a cut link");
+            proxy.send(ProxyCommand::SetRule(vec![link], Rule::default()));
+            let mut rest = Vec::new();
+            peer.set_read_timeout(Some(TIMEOUT)).expect("set");
+            let end = peer.read_to_end(&mut rest).map(|_| rest).map_err(|error| error.kind());
+            let expected = if reset { Err(ErrorKind::ConnectionReset) } else { Ok(b"b".to_vec()) };
+            assert_eq!(end, expected, "{cut:?}");
+        }
+    }
+}
+
+/// Sends a part into a cut, gives it up with or without a reset, and sends it to another server. Returns the
+/// rules that are violated when the cut ends after the idempotency window.
+fn rules_violated_by_a_part_sent_into_a_cut(reset: bool) -> Vec<ViolatedRule> {
+    let world = world(1, 1);
+    let mut builder = Builder::new(1);
+    let (link, at) = builder.tcp(world.tile_address(0)).expect("a free port");
+    let proxy = builder.start().expect("starts");
+    let mut cut_off = TcpStream::connect(at).expect("listens");
+    cut_off.write_all(&encode_frame("p")).expect("written");
+    assert_eq!(read_response(&mut cut_off), "pserved");
+    proxy.send(ProxyCommand::SetRule(vec![link], Rule::cut()));
+    wait_until(|| TcpStream::connect_timeout(&at, NO_DATA_WAIT).is_err());
+    cut_off.write_all(&part_frame("b0-1.0", 0, "k")).expect("written");
+    if reset {
+        socket2::SockRef::from(&cut_off).set_linger(Some(Duration::ZERO)).expect("set");
+    } else {
+        cut_off.write_all(&encode_frame("cb0-1.0")).expect("written");
+    }
+    drop(cut_off);
+    let mut reachable = TcpStream::connect(world.tile_address(0)).expect("listens");
+    reachable.write_all(&part_frame("b0-1.0", 0, "k")).expect("written");
+    assert!(read_response(&mut reachable).starts_with("ab0-1.0 served "));
+    let executed = Instant::now();
+    // The window is 10 ms, and the protocol's slack 50 ms.
+    wait_until(|| executed.elapsed() > Duration::from_millis(100));
+    proxy.send(ProxyCommand::SetRule(vec![link], Rule::default()));
+    // The connection through the proxy has been read to its end once a later one has been answered.
+    let mut later = None;
+    wait_until(|| {
+        later = TcpStream::connect_timeout(&at, TIMEOUT).ok();
+        later.is_some()
+    });
+    let mut later = later.expect("connected");
+    later.write_all(&encode_frame("p")).expect("written");
+    assert_eq!(read_response(&mut later), "pserved");
+    let start = Instant::now();
+    while violated_rules(&world).is_empty() && start.elapsed() < NO_DATA_WAIT {
+        thread::yield_now();
+    }
+    violated_rules(&world)
+}
+
+// Guards the check for effects done twice: a broker that closes normally, or sends a cancellation behind the
+// part, is found, and one that aborts the connection is not.
+#[test]
+fn a_part_delivered_after_a_cut_is_found_to_be_executed_again() {
+    assert_eq!(rules_violated_by_a_part_sent_into_a_cut(false), [ViolatedRule::Doubled]);
+    assert_eq!(rules_violated_by_a_part_sent_into_a_cut(true), []);
+}
+
 #[test]
 fn a_link_that_is_down_resets_and_refuses_until_it_is_up_again_at_its_address() {
     let (server, proxy, link, at) = proxied_server();
