Stand-in discovery: a list counts as known only if it can be read

Cause: a broker restarted while discovery rejects calls starts from the last known list and can't read a newer one, and the stand-in counted it as known all the same.

Fix: while calls are rejected, a change counts as known to a broker when a live watch got it, and at the latest 6 s after its publication, also over restarts. Once calls are answered, the former rule holds.

Tests in virtual time: known at once, after 6 s with calls rejected throughout, not later by a restart, once calls are answered, by a watch, and up again.

--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -215,7 +215,9 @@
     Heartbeat,
     /// Ends a stall of discovery.
     DiscoveryResumes,
-    /// Deems the list delivered to a broker whose watch was stalled.
+    /// Ends the rejection of calls.
+    CallsAnswered,
+    /// Deems the list delivered to a broker that could not read it.
     DeemedDelivered { broker: usize },
 }
 
@@ -274,6 +276,8 @@
     list_versions: BTreeMap<u64, Vec<ListEntry>>,
     /// The published version.
     published: u64,
+    /// Since when each server has not been listed as up, if it isn't.
+    not_up_since: Vec<Option<Duration>>,
     publish_delay: Duration,
     reject_calls_until: Duration,
     stalled_until: Duration,
@@ -300,6 +304,8 @@
             .iter()
             .map(|s| if s.initially_up { ListedState::Up } else { ListedState::Removed })
             .collect();
+        let not_up_since =
+            list.iter().map(|state| (*state != ListedState::Up).then_some(Duration::ZERO)).collect();
         let models = config.servers.iter().map(|_| ServerModel::new(config.parameters, None)).collect();
         let down_until = config.servers.iter().map(|s| (!s.initially_up).then_some(Duration::MAX)).collect();
         let since_ms = vec![0; config.servers.len()];
@@ -325,6 +331,7 @@
             version: 1,
             list_versions: BTreeMap::from([(1, entries)]),
             published: 1,
+            not_up_since,
             publish_delay: Duration::ZERO,
             reject_calls_until: Duration::ZERO,
             stalled_until: Duration::ZERO,
@@ -425,6 +432,7 @@
                     }
                 }
             }
+            TimerEvent::CallsAnswered => self.deliver_to_agents(now),
             TimerEvent::DeemedDelivered { broker } => self.deliver_to_agent(now, broker),
         }
     }
@@ -442,7 +450,10 @@
                 self.schedule_publish(now);
             }
             WorldCommand::DelayListUpdates(delay) => self.publish_delay = delay,
-            WorldCommand::RejectCallsUntil(until) => self.reject_calls_until = until,
+            WorldCommand::RejectCallsUntil(until) => {
+                self.reject_calls_until = until;
+                self.set_timer(until, TimerEvent::CallsAnswered);
+            }
             WorldCommand::StallDiscoveryUntil(until) => {
                 self.stalled_until = until;
                 let watches = self
@@ -779,7 +790,13 @@
         }
         self.published = version;
         self.list_versions = self.list_versions.split_off(&version);
-        (0..self.config.brokers).for_each(|broker| self.deliver_to_agent(now, broker));
+        for (entry, since) in self.list_versions[&version].iter().zip(&mut self.not_up_since) {
+            *since = (entry.state != ListedState::Up).then(|| since.unwrap_or(now));
+        }
+        self.deliver_to_agents(now);
+        for broker in 0..self.config.brokers {
+            self.set_timer(now + DELIVERY_DEADLINE, TimerEvent::DeemedDelivered { broker });
+        }
         let watching = self.connections.iter().filter(|(_, connection)| connection.is_live_watch());
         let watching: Vec<(usize, Endpoint)> =
             watching.map(|(key, connection)| (*key, connection.endpoint)).collect();
@@ -790,15 +807,40 @@
         }
     }
 
+    /// Delivers the published list to the agents of all brokers.
+    fn deliver_to_agents(&mut self, now: Duration) {
+        (0..self.config.brokers).for_each(|broker| self.deliver_to_agent(now, broker));
+    }
+
     /// Marks the published list as delivered to a broker's agent where lists are pushed, unless discovery is
-    /// stalled or a watch of that broker has been stalled for less than the delivery deadline.
+    /// stalled or a watch of that broker has been stalled for less than the delivery deadline. While calls
+    /// are rejected, a broker without a watch can't read what its agent holds.
     fn deliver_to_agent(&mut self, now: Duration, broker: usize) {
         let is_undelivered = |connection: &Connection| {
             let is_stalled = connection.stalled_since.is_some_and(|since| now < since + DELIVERY_DEADLINE);
             connection.endpoint == Endpoint::Discovery(broker) && connection.is_watch && is_stalled
         };
         if self.config.pushed && now >= self.stalled_until && !self.connections.values().any(is_undelivered) {
-            self.mark_delivered(now, broker);
+            if now < self.reject_calls_until {
+                self.mark_overdue(now, broker);
+            } else {
+                self.mark_delivered(now, broker);
+            }
+        }
+    }
+
+    /// Records what a broker whose calls are rejected counts as knowing: each change once the delivery
+    /// deadline has passed since its publication.
+    fn mark_overdue(&mut self, now: Duration, broker: usize) {
+        let mut ledger = lock(&self.ledger);
+        for (server, since) in self.not_up_since.iter().enumerate() {
+            match since {
+                None => ledger.set_drain_known(now, broker, server, false),
+                Some(since) if now >= *since + DELIVERY_DEADLINE => {
+                    ledger.set_drain_known(now, broker, server, true);
+                }
+                Some(_) => {}
+            }
         }
     }
 
@@ -847,3 +889,6 @@
     bytes.extend_from_slice(frame);
     bytes
 }
+
+#[cfg(test)]
+mod tests;
