Second copies: the violation tells when the earlier attempt ended

It now says how long before the earlier attempt was received, and how and when it ended, which tells a server that read a cancellation late from a cancellation that was not sent.

Test: ledger::tests::a_second_copy_tells_when_the_earlier_attempt_ended.

--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -95,6 +95,15 @@
     pub key: Option<&'a str>,
 }
 
+/// An attempt of a part in flight.
+#[derive(Clone, Copy, Debug)]
+struct InFlight {
+    /// The connection that carries it.
+    connection: usize,
+    /// When its frame was received.
+    received_at: Duration,
+}
+
 /// The counters and violations of a run.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -109,8 +118,11 @@
     pub reruns_in_window: u32,
     /// How long servers remember an idempotency key after its part was first executed.
     pub idempotency_window: Duration,
-    /// Connection of each part in flight, by the part's id.
-    in_flight: HashMap<String, usize>,
+    /// Each part in flight, by its id.
+    in_flight: HashMap<String, InFlight>,
+    /// Earlier attempts that were still in flight when a further one was received: the index of the violation
+    /// by connection and part id, until their end is received.
+    overlapped: HashMap<(usize, String), usize>,
     /// When each part of a keyed or unsafe class was first executed, by idempotency key or client query, and
     /// shard.
     first_executed: HashMap<(String, u32), Duration>,
@@ -164,7 +176,7 @@
 
     /// The connection on which a part is in flight.
     pub fn connection_of(&self, id: &str) -> Option<usize> {
-        self.in_flight.get(id).copied()
+        self.in_flight.get(id).map(|attempt| attempt.connection)
     }
 
     /// Records a part; `frame_started` is when the first byte of its frame was received.
@@ -176,11 +188,15 @@
         connection: usize,
         part: PartRef<'_>,
     ) {
-        if let Some(other) = self.in_flight.insert(part.id.to_owned(), connection) {
+        let attempt = InFlight { connection, received_at: now };
+        if let Some(other) = self.in_flight.insert(part.id.to_owned(), attempt) {
             let details = format!(
-                "{} received on connection {connection} while in flight on connection {other}",
-                part.id
+                "{} received on connection {connection} while in flight on connection {}, received there {} ms before",
+                part.id,
+                other.connection,
+                (now - other.received_at).as_millis()
             );
+            self.overlapped.insert((other.connection, part.id.to_owned()), self.violations.len());
             self.record_violation(now, Rule::SecondCopy, details);
         }
         let known_since =
@@ -225,15 +241,31 @@
     }
 
     /// Records that a part on a connection was answered, or cancelled by its broker.
-    pub fn part_finished(&mut self, connection: usize, id: &str) {
-        if self.in_flight.get(id) == Some(&connection) {
+    pub fn part_finished(&mut self, now: Duration, connection: usize, id: &str) {
+        if self.connection_of(id) == Some(connection) {
             self.in_flight.remove(id);
         }
+        if let Some(violation) = self.overlapped.remove(&(connection, id.to_owned())) {
+            self.describe_end(now, violation, "was answered or its cancellation received");
+        }
     }
 
     /// Records that a connection was closed, which ends all parts in flight on it.
-    pub fn connection_closed(&mut self, connection: usize) {
-        self.in_flight.retain(|_, on| *on != connection);
+    pub fn connection_closed(&mut self, now: Duration, connection: usize) {
+        self.in_flight.retain(|_, attempt| attempt.connection != connection);
+        let ended: Vec<_> = self.overlapped.extract_if(|(on, _), _| *on == connection).collect();
+        for (_, violation) in ended {
+            self.describe_end(now, violation, "ended with its connection");
+        }
+    }
+
+    /// Adds to a violation how and when the earlier attempt ended, which tells a cancellation that was
+    /// received late from one that was not sent.
+    fn describe_end(&mut self, now: Duration, violation: usize, how: &str) {
+        if let Some(violation) = self.violations.get_mut(violation) {
+            let late = now.saturating_sub(violation.at).as_millis();
+            violation.details.push_str(&format!("; the earlier attempt {how} {late} ms later"));
+        }
     }
 }
 
@@ -255,16 +287,41 @@
     fn a_part_in_flight_twice_is_a_second_copy() {
         let mut ledger = Ledger::default();
         ledger.part_received(MS, MS, 0, 1, part("b0-1.3"));
-        ledger.part_finished(1, "b0-1.3");
+        ledger.part_finished(MS * 3, 1, "b0-1.3");
         ledger.part_received(MS * 2, MS, 1, 2, part("b0-1.3"));
-        ledger.connection_closed(2);
+        ledger.connection_closed(MS * 3, 2);
         ledger.part_received(MS * 3, MS, 1, 3, part("b0-1.3"));
-        ledger.part_finished(9, "b0-1.3");
+        ledger.part_finished(MS * 3, 9, "b0-1.3");
         assert_eq!(rules(&ledger), []);
         ledger.part_received(MS * 4, MS, 1, 4, part("b0-1.3"));
         assert_eq!(rules(&ledger), [Rule::SecondCopy]);
     }
 
+    #[test]
+    fn a_second_copy_tells_when_the_earlier_attempt_ended() {
+        let mut ledger = Ledger::default();
+        ledger.part_received(MS, MS, 0, 1, part("b0-1.3"));
+        ledger.part_received(MS * 60, MS * 60, 1, 2, part("b0-1.3"));
+        ledger.part_finished(MS * 62, 1, "b0-1.3");
+        ledger.part_finished(MS * 70, 2, "b0-1.3");
+        ledger.part_received(MS * 80, MS * 80, 0, 1, part("b0-2.3"));
+        ledger.part_received(MS * 90, MS * 90, 1, 2, part("b0-2.3"));
+        ledger.connection_closed(MS * 95, 1);
+        let details: Vec<&str> = ledger.violations.iter().map(|found| found.details.as_str()).collect();
+        assert_eq!(
+            details,
+            [
+                "b0-1.3 received on connection 2 while in flight on connection 1, received there 59 ms before; \
+                 the earlier attempt was answered or its cancellation received 2 ms later",
+                "b0-2.3 received on connection 2 while in flight on connection 1, received there 10 ms before; \
+                 the earlier attempt ended with its connection 5 ms later",
+            ]
+        );
+        ledger.violations.clear();
+        ledger.connection_closed(MS * 99, 2);
+        assert!(ledger.overlapped.is_empty(), "nothing is kept for attempts that have ended");
+    }
+
     #[test]
     fn a_keyed_part_may_be_executed_again_only_within_its_window() {
         let mut ledger = Ledger { idempotency_window: MS * 100, ..Ledger::default() };
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -401,7 +401,7 @@
         match event {
             TimerEvent::Read { connection } => self.read(now, connection),
             TimerEvent::SendResponse { connection, part_id, frame } => {
-                lock(&self.ledger).part_finished(connection, &part_id);
+                lock(&self.ledger).part_finished(now, connection, &part_id);
                 self.queue_bytes(connection, &frame);
             }
             TimerEvent::PublishList { version } => self.publish_list(now, version),
@@ -512,7 +512,7 @@
         if reset {
             let _ = socket2::SockRef::from(&connection.stream).set_linger(Some(Duration::ZERO));
         }
-        lock(&self.ledger).connection_closed(key);
+        lock(&self.ledger).connection_closed(self.start.elapsed(), key);
     }
 
     fn accept(&mut self, now: Duration, key: usize) {
@@ -648,7 +648,7 @@
                 b'q' => self.on_call(now, frame_started, key, server, &frame[1..]),
                 b'c' => {
                     let id = String::from_utf8_lossy(&frame[1..]).into_owned();
-                    lock(&self.ledger).part_finished(key, &id);
+                    lock(&self.ledger).part_finished(now, key, &id);
                 }
                 b'p' | b'l' => {
                     lock(&self.ledger).counts_mut(now, server).probes += 1;
--- a/crates/standin/src/world/tests.rs
+++ b/crates/standin/src/world/tests.rs
@@ -66,7 +66,7 @@
         let mut ledger = lock(&self.ledger);
         ledger.violations.clear();
         ledger.part_received(at, at, 0, 1, PartRef { id: "b0-1.0", shard: 0, key: None });
-        ledger.part_finished(1, "b0-1.0");
+        ledger.part_finished(at, 1, "b0-1.0");
         ledger.violations.iter().any(|violation| violation.rule == Rule::Drained)
     }
 
