Second copies: excuse what was cancelled into a cut, and nothing else

Fix: where a scenario cuts links, the fault proxy records what brokers write. A second copy is excused if the attempt sent first was cancelled while the way to its server was cut and the other was sent 50 ms later or more. A copy that is not excused is reported with these times. An effect done twice is never excused.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! rules; they do no I/O. [`proxy`], [`load`] with its [`pool`], [`control`] and [`process`] handle sockets
 //! and processes, and [`run`] connects all of them.
 
+pub mod attempt_log;
 pub mod control;
 pub mod load;
 pub mod pool;
--- a/crates/fleet/src/proxy.rs
+++ b/crates/fleet/src/proxy.rs
@@ -3,10 +3,11 @@
 //! come from a seed.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::mpsc::{self, Receiver, Sender};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -15,6 +16,7 @@
 use rand_chacha::ChaCha8Rng;
 use socket2::{Domain, SockRef, Socket, Type};
 
+use crate::attempt_log::{AttemptLog, Observation, WriteEvent};
 use crate::port::{ReservedPort, shut_down_listener};
 
 /// Bytes buffered for one direction of a connection above which no more is read from its sender.
@@ -86,6 +88,25 @@
 pub struct Builder {
     rng: ChaCha8Rng,
     routes: Vec<Route>,
+    observer: Option<Observer>,
+}
+
+/// Records what is written on some links by the sides that connected.
+struct Observer {
+    links: HashSet<usize>,
+    log: Arc<Mutex<AttemptLog>>,
+}
+
+impl Observer {
+    /// Records an event on a connection, of which `target` is the proxy's stream to the target.
+    fn observe(&self, link: usize, target: &TcpStream, at: Duration, is_cut: bool, event: WriteEvent<'_>) {
+        if self.links.contains(&link)
+            && let Ok(connection) = target.local_addr()
+        {
+            let observation = Observation { at, connection, is_cut, event };
+            self.log.lock().unwrap_or_else(PoisonError::into_inner).observe(observation);
+        }
+    }
 }
 
 enum Route {
@@ -117,7 +138,12 @@
 impl Builder {
     /// A builder without links. The proxy draws its random choices from `seed`.
     pub fn new(seed: u64) -> Self {
-        Builder { rng: ChaCha8Rng::seed_from_u64(seed), routes: Vec::new() }
+        Builder { rng: ChaCha8Rng::seed_from_u64(seed), routes: Vec::new(), observer: None }
+    }
+
+    /// Records what the sides that connect write on these links, which lead to tile servers.
+    pub fn observe(&mut self, links: impl IntoIterator<Item = Link>, log: Arc<Mutex<AttemptLog>>) {
+        self.observer = Some(Observer { links: links.into_iter().map(|link| link.0).collect(), log });
     }
 
     /// Adds a link for connections to an address. Returns the link and the proxy's address for it.
@@ -174,6 +200,7 @@
             start: Instant::now(),
             next_key: self.routes.len(),
             rng: self.rng,
+            observer: self.observer,
             routes: self.routes,
             rules,
             queue_fillers,
@@ -248,6 +275,7 @@
     /// The next unused key for streams and delayed datagrams; links use their indices as keys.
     next_key: usize,
     rng: ChaCha8Rng,
+    observer: Option<Observer>,
     routes: Vec<Route>,
     rules: Vec<Rule>,
     /// Connections that fill the accept queues of cut links, by link.
@@ -471,10 +499,18 @@
                 broken |= connection.flows[n].reset_unseen && !cut;
                 continue;
             }
-            if connection.flows[n].read(from, now, &rule, &mut self.rng)
+            let observer = self.observer.as_ref().filter(|_| n == 0);
+            let mut observe = |event: WriteEvent<'_>| {
+                if let Some(observer) = observer {
+                    observer.observe(connection.link, target, now, cut, event);
+                }
+            };
+            let flow = &mut connection.flows[n];
+            if flow.read(from, now, &rule, &mut self.rng, &mut observe)
                 || matches!(from.take_error(), Ok(Some(_)))
             {
-                broken |= connection.flows[n].on_reset(cut);
+                observe(WriteEvent::Ended);
+                broken |= flow.on_reset(cut);
                 continue;
             }
             if !cut {
@@ -518,13 +554,24 @@
 impl Flow {
     /// Reads what is available, as far as buffer and rate allow. Returns whether the connection is broken or
     /// is to be reset.
-    fn read(&mut self, mut from: &TcpStream, now: Duration, rule: &Rule, rng: &mut ChaCha8Rng) -> bool {
+    fn read(
+        &mut self,
+        mut from: &TcpStream,
+        now: Duration,
+        rule: &Rule,
+        rng: &mut ChaCha8Rng,
+        observe: &mut impl FnMut(WriteEvent<'_>),
+    ) -> bool {
         let mut buffer = [0; 16 * 1024];
         while !self.ended && self.buffered_bytes < MAX_BUFFERED_BYTES && self.read_at <= now {
             let max = rule.rate.map_or(buffer.len(), |rate| buffer.len().min((rate / 20).max(1) as usize));
             match from.read(&mut buffer[..max]) {
-                Ok(0) => self.ended = true,
+                Ok(0) => {
+                    observe(WriteEvent::Ended);
+                    self.ended = true;
+                }
                 Ok(read) => {
+                    observe(WriteEvent::Bytes(&buffer[..read]));
                     if rule.reset > 0.0 && rng.random_bool(rule.reset.min(1.0)) {
                         return true;
                     }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -10,6 +10,7 @@
 use badgergauge_standin::ledger::{Ledger, Rule, Violation};
 use serde::{Deserialize, Serialize};
 
+use crate::attempt_log::AttemptLog;
 use crate::load::{ClientResults, OutcomeCounts, Refusal};
 use crate::schedule::{Action, Schedule};
 
@@ -294,7 +295,12 @@
             Some(status) => format!("answered {status}"),
             None => "did not take a connection or request".to_owned(),
         };
-        Violation { at: refusal.at, rule: Rule::Refused, details: format!("b{} {how}", refusal.broker) }
+        Violation {
+            at: refusal.at,
+            rule: Rule::Refused,
+            details: format!("b{} {how}", refusal.broker),
+            second_copy: None,
+        }
     };
     let refused = seen.refused.iter();
     let refused =
@@ -312,6 +318,7 @@
     schedule: &Schedule,
     offset: Duration,
     frame_faults: &[(Duration, Duration)],
+    attempts: &AttemptLog,
 ) -> Vec<Violation> {
     let excused: Vec<Vec<(Duration, Duration)>> =
         (0..=seen.unanswered.iter().map(|lost| lost.broker).max().unwrap_or(0))
@@ -332,8 +339,13 @@
         let explained = violation.rule == Rule::CutFrame
             && (kills.iter().any(|at| after(*at, *at))
                 || frame_faults.iter().any(|(from, until)| after(*from + offset, *until + offset)));
-        if !explained {
-            found.push(violation.clone());
+        let cancelled = violation.second_copy.as_ref().is_some_and(|copy| attempts.is_excused(copy));
+        if !explained && !cancelled {
+            let mut violation = violation.clone();
+            if let Some(copy) = &violation.second_copy {
+                violation.details.push_str(&format!("; {}", attempts.describe(copy)));
+            }
+            found.push(violation);
         }
     }
     let mut closed = Vec::new();
@@ -348,7 +360,7 @@
         let how = if lost.closed { "its connection was closed" } else { "nothing came" };
         let took = lost.ended.saturating_sub(lost.sent).as_millis();
         let details = format!("{} had no answer: {how} after {took} ms", lost.id);
-        let violation = Violation { at: lost.ended, rule: Rule::NoAnswer, details };
+        let violation = Violation { at: lost.ended, rule: Rule::NoAnswer, details, second_copy: None };
         if lost.closed { closed.push(violation) } else { found.push(violation) }
     }
     let offered: u32 = seen.outcomes.values().map(|fates| fates.offered).sum();
@@ -363,12 +375,14 @@
         at: *at,
         rule: Rule::WrongAnswer,
         details: details.clone(),
+        second_copy: None,
     }));
     let crashed = observations.crashed.iter();
     found.extend(crashed.map(|(at, details)| Violation {
         at: *at,
         rule: Rule::Crashed,
         details: details.clone(),
+        second_copy: None,
     }));
     found.sort_by_key(|violation| violation.at);
     found
@@ -479,7 +493,15 @@
     fn violated_rules(ledger: &Ledger, seen: &ClientResults) -> Vec<Rule> {
         let schedule = Schedule { actions: vec![(S * 10, Action::Kill(1))], added_servers: Vec::new() };
         let observations = RunObservations::default();
-        let all = violations(ledger, seen, &observations, &schedule, S, &[(S * 20, S * 22)]);
+        let all = violations(
+            ledger,
+            seen,
+            &observations,
+            &schedule,
+            S,
+            &[(S * 20, S * 22)],
+            &AttemptLog::default(),
+        );
         all.into_iter().map(|violation| violation.rule).collect()
     }
 
@@ -531,8 +553,14 @@
         ];
         let schedule = Schedule { actions, added_servers: Vec::new() };
         let mut observations = RunObservations::default();
-        observations.violations.push(Violation { at: S * 12, rule: Rule::NotReady, details: String::new() });
-        let all = violations(&Ledger::default(), &seen, &observations, &schedule, S, &[]);
+        observations.violations.push(Violation {
+            at: S * 12,
+            rule: Rule::NotReady,
+            details: String::new(),
+            second_copy: None,
+        });
+        let all =
+            violations(&Ledger::default(), &seen, &observations, &schedule, S, &[], &AttemptLog::default());
         let all: Vec<(Rule, Duration)> =
             all.into_iter().map(|violation| (violation.rule, violation.at)).collect();
         let expected = [
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -14,6 +14,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use badgergauge_standin::world::{World, WorldCommand};
@@ -22,6 +23,7 @@
 use rustix::process::Signal;
 use serde_json::{Value, json};
 
+use crate::attempt_log::AttemptLog;
 use crate::control;
 use crate::load::{ClientCommand, Clients, Load};
 use crate::port::ReservedPort;
@@ -197,6 +199,8 @@
     clients_start: Duration,
     world: World,
     proxy: Proxy,
+    /// What the brokers wrote to tile servers, where the scenario cuts links.
+    attempts: Arc<Mutex<AttemptLog>>,
     links: FleetLinks,
     clients: Option<Clients>,
     brokers: Vec<Broker>,
@@ -256,6 +260,10 @@
             }
         }
     }
+    let attempts = Arc::new(Mutex::new(AttemptLog::default()));
+    if scenario.events.iter().any(|event| cuts_links(&event.fault)) {
+        builder.observe(links.tiles.iter().flatten().copied(), attempts.clone());
+    }
     let proxy = builder.start()?;
     // Servers that join later are down at first.
     let later: Vec<usize> = (scenario.servers..scenario.servers + schedule.added_servers.len()).collect();
@@ -270,6 +278,7 @@
         clients_start: Duration::ZERO,
         world,
         proxy,
+        attempts,
         links,
         clients: None,
         brokers,
@@ -344,8 +353,17 @@
         let cut_spans: Vec<(Duration, Duration)> =
             self.scenario.events.iter().filter_map(frame_cut_span).collect();
         let ledger = self.world.ledger();
-        let broken =
-            record::violations(&ledger, &results, &self.gathered, schedule, self.clients_start, &cut_spans);
+        let attempts = self.attempts.lock().unwrap_or_else(PoisonError::into_inner);
+        let broken = record::violations(
+            &ledger,
+            &results,
+            &self.gathered,
+            schedule,
+            self.clients_start,
+            &cut_spans,
+            &attempts,
+        );
+        drop(attempts);
         let rows = record::rows(&ledger, &results, &self.gathered, self.clients_start.as_secs());
         let fault_at = schedule.actions.first().map(|(at, _)| at.as_secs_f64());
         let (steady, full_service_s) = record::full_service(&rows, fault_at, self.options.full_service_hold);
@@ -738,6 +756,11 @@
     }
 }
 
+/// Whether a fault cuts links between brokers and tile servers.
+fn cuts_links(fault: &Fault) -> bool {
+    matches!(fault, Fault::LoseZone { .. } | Fault::Partition { .. })
+}
+
 /// The time span in which an event's faults may cut frames, if they may.
 fn frame_cut_span(event: &crate::scenario::Event) -> Option<(Duration, Duration)> {
     match &event.fault {
--- a/crates/fleet/src/run/upgrade.rs
+++ b/crates/fleet/src/run/upgrade.rs
@@ -167,6 +167,6 @@
     /// Records a violation of a rule that the harness itself has observed.
     pub(super) fn record_violation(&mut self, rule: Rule, what: String) {
         let at = self.now();
-        self.gathered.violations.push(Violation { at, rule, details: what });
+        self.gathered.violations.push(Violation { at, rule, details: what, second_copy: None });
     }
 }
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -3,6 +3,7 @@
 
 use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Tolerance that the protocol adds to every time limit.
@@ -82,6 +83,17 @@
     pub rule: Rule,
     /// What was seen, for a reader.
     pub details: String,
+    /// The two attempts, for [`Rule::SecondCopy`].
+    pub second_copy: Option<SecondCopy>,
+}
+
+/// Two attempts of a part that were in flight at the same time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SecondCopy {
+    /// The part's id.
+    pub part_id: String,
+    /// The addresses from which the connections of the two attempts came.
+    pub peers: [SocketAddr; 2],
 }
 
 /// A part as its call identifies it.
@@ -118,6 +130,8 @@
     pub reruns_in_window: u32,
     /// How long servers remember an idempotency key after its part was first executed.
     pub idempotency_window: Duration,
+    /// The address from which each open connection came.
+    peers: HashMap<usize, SocketAddr>,
     /// Each part in flight, by its id.
     in_flight: HashMap<String, InFlight>,
     /// Earlier attempts that were still in flight when a further one was received: the index of the violation
@@ -157,7 +171,7 @@
 
     /// Records a violation.
     pub fn record_violation(&mut self, at: Duration, rule: Rule, details: String) {
-        self.violations.push(Violation { at, rule, details });
+        self.violations.push(Violation { at, rule, details, second_copy: None });
     }
 
     /// Records that a broker learned that a server drains, or that it serves again.
@@ -174,6 +188,11 @@
         self.drain_known_since.retain(|(known_by, _), _| *known_by != broker);
     }
 
+    /// Records that a connection from an address was accepted.
+    pub fn connection_opened(&mut self, connection: usize, peer: SocketAddr) {
+        self.peers.insert(connection, peer);
+    }
+
     /// The connection on which a part is in flight.
     pub fn connection_of(&self, id: &str) -> Option<usize> {
         self.in_flight.get(id).map(|attempt| attempt.connection)
@@ -197,7 +216,11 @@
                 (now - other.received_at).as_millis()
             );
             self.overlapped.insert((other.connection, part.id.to_owned()), self.violations.len());
-            self.record_violation(now, Rule::SecondCopy, details);
+            let second_copy =
+                self.peers.get(&other.connection).zip(self.peers.get(&connection)).map(|(earlier, later)| {
+                    SecondCopy { part_id: part.id.to_owned(), peers: [*earlier, *later] }
+                });
+            self.violations.push(Violation { at: now, rule: Rule::SecondCopy, details, second_copy });
         }
         let known_since =
             broker_index(part.id).and_then(|broker| self.drain_known_since.get(&(broker, server)));
@@ -252,6 +275,7 @@
 
     /// Records that a connection was closed, which ends all parts in flight on it.
     pub fn connection_closed(&mut self, now: Duration, connection: usize) {
+        self.peers.remove(&connection);
         self.in_flight.retain(|_, attempt| attempt.connection != connection);
         let ended: Vec<_> = self.overlapped.extract_if(|(on, _), _| *on == connection).collect();
         for (_, violation) in ended {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,7 +15,7 @@
 use std::thread;
 
 /// Largest accepted frame, without its length prefix.
-pub(crate) const MAX_FRAME_BYTES: usize = 1024 * 1024;
+pub const MAX_FRAME_BYTES: usize = 1024 * 1024;
 
 /// How a server handles the parts that it receives; all but `Serve` are faults that a test injects.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -180,6 +180,15 @@
     Ok(parts)
 }
 
+/// The ids of the parts of a call, given the rest of its frame after the letter.
+///
+/// # Errors
+///
+/// When the call does not have the form that the protocol states.
+pub fn call_part_ids(rest: &[u8]) -> io::Result<Vec<String>> {
+    Ok(parse_call(rest)?.into_iter().map(|part| part.id).collect())
+}
+
 fn handle_call(stream: &mut TcpStream, rest: &[u8], shared: &Mutex<Shared>) -> io::Result<()> {
     for CallPart { id, shard, key, text } in parse_call(rest)? {
         let behaviour = {
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -519,7 +519,7 @@
         loop {
             let Some((endpoint, listener)) = self.listeners.get(&key) else { return };
             let (endpoint, accepted) = (*endpoint, listener.accept());
-            let Ok((stream, _)) = accepted else { break };
+            let Ok((stream, peer)) = accepted else { break };
             let configured = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
             if configured.is_err() {
                 continue;
@@ -546,6 +546,7 @@
             }
             let key = self.new_key();
             if self.poll.add(&stream, key, true, false).is_ok() {
+                lock(&self.ledger).connection_opened(key, peer);
                 self.connections.insert(
                     key,
                     Connection {
