Count aborted connections to tile servers and the parts lost with them

Change: the backend counts both, and the control endpoint shows them as `aborted_connections` and `parts_lost_in_aborts`. The debug line of an abort names the same number, of written parts that were not cancelled.

Tests: a backend test of the counts and of the outcome of the other part (may have run), and one with a broker process: an unsafe part lost so is answered with 502 and not sent again. The two tests that compare all metrics have the two new names.

--- a/crates/control/src/statistics.rs
+++ b/crates/control/src/statistics.rs
@@ -31,6 +31,8 @@
 pub struct Statistics {
     classes: Vec<ClassCounters>,
     relayed: Counter,
+    aborted_connections: Counter,
+    parts_lost_in_aborts: Counter,
     open_requests: Gauge<u64, AtomicU64>,
     registry_entries: Gauge<u64, AtomicU64>,
     out_of_rotation: Gauge<u64, AtomicU64>,
@@ -48,6 +50,8 @@
         Statistics {
             classes: classes.iter().map(counters).collect(),
             relayed: Counter::default(),
+            aborted_connections: Counter::default(),
+            parts_lost_in_aborts: Counter::default(),
             open_requests: Gauge::default(),
             registry_entries: Gauge::default(),
             out_of_rotation: Gauge::default(),
@@ -70,6 +74,13 @@
         self.relayed.inc_by(attempts);
     }
 
+    /// Adds to the number of aborted connections to tile servers, and to that of the other parts that were in
+    /// flight on them.
+    pub fn connections_aborted(&self, connections: u64, lost_parts: u64) {
+        self.aborted_connections.inc_by(connections);
+        self.parts_lost_in_aborts.inc_by(lost_parts);
+    }
+
     /// Sets the number of requests that are accepted and not yet completed.
     pub fn set_open_requests(&self, requests: usize) {
         self.open_requests.set(requests as u64);
@@ -96,6 +107,8 @@
             line(&format!("operations.{class}.faulted"), counters.faulted.get());
         }
         line("relayed", self.relayed.get());
+        line("aborted_connections", self.aborted_connections.get());
+        line("parts_lost_in_aborts", self.parts_lost_in_aborts.get());
         line("open_requests", self.open_requests.get());
         line("registry_entries", self.registry_entries.get());
         line("out_of_rotation", self.out_of_rotation.get());
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use self::cancel::AbortCounts;
 use self::cancel::{CANCEL_READ_ALLOWANCE, WithheldOutcome};
 use self::connect_time::ConnectTime;
 use self::connection::{Connection, PartState};
@@ -106,6 +107,8 @@
     probe_counts: ProbeCounts,
     /// Attempts written completely since this was last taken.
     relayed: u64,
+    /// Connections aborted since this was last taken.
+    aborts: AbortCounts,
     /// Results that have not been collected yet.
     pub completions: Vec<Completion>,
     /// The latest time passed to any call.
@@ -136,6 +139,7 @@
             step: 0,
             probe_counts: ProbeCounts::default(),
             relayed: 0,
+            aborts: AbortCounts::default(),
             completions: Vec::new(),
             now: Time(0),
             withheld_outcomes: Vec::new(),
@@ -461,16 +465,13 @@
         let Some(connection) = self.connections.remove(&key) else { return };
         net.poll.remove(&connection.stream);
         connection.prepare_close();
+        let is_loss = connection.active_written_parts() > 0;
         drop(connection.stream);
         // As with writes, the close is known to have happened only now; the loop's reading of the clock may
         // be old.
         let closed_at = self.now.max(net.clock.now());
         if let Some(server) = self.servers.get_mut(&connection.server) {
             server.connections.retain(|k| *k != key);
-            let is_loss = connection
-                .parts
-                .values()
-                .any(|part| part.written_at.is_some() && part.cancelled_at.is_none());
             server.losses.losses += f64::from(u8::from(is_loss));
         }
         if tracing::enabled!(tracing::Level::DEBUG) {
--- a/src/backend/cancel.rs
+++ b/src/backend/cancel.rs
@@ -17,6 +17,16 @@
 /// cancellation, and two attempts would be in flight at once.
 pub(super) const CANCEL_READ_ALLOWANCE: Duration = Duration::from_millis(50);
 
+/// Number of connections that were aborted because a cancelled part might still be delivered, and what that
+/// cost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AbortCounts {
+    /// Connections aborted.
+    pub connections: u64,
+    /// Other parts in flight on them, whose outcome is unknown since.
+    pub lost_parts: u64,
+}
+
 /// The outcome of a cancelled attempt, withheld until its server has read the cancellation.
 pub(super) struct WithheldOutcome {
     /// Earliest time at which the outcome is reported.
@@ -69,13 +79,21 @@
     /// it failed.
     pub(super) fn abort_connection(&mut self, net: &Net, key: usize) {
         let Some(connection) = self.connections.get(&key) else { return };
+        let lost_parts = connection.active_written_parts();
         tracing::debug!(
-            "aborting a silent connection to a tile server with {} parts in flight: one of them was cancelled",
-            connection.active_parts(),
+            "aborting a silent connection to a tile server, as a part with an effect was cancelled on it; \
+             {lost_parts} other parts are in flight on it"
         );
+        self.aborts.connections += 1;
+        self.aborts.lost_parts += lost_parts as u64;
         self.close_connection(net, key, ClosedBy::Broker);
     }
 
+    /// Returns what was aborted since the last call.
+    pub fn take_aborts(&mut self) -> AbortCounts {
+        std::mem::take(&mut self.aborts)
+    }
+
     /// Withdraws an attempt if nothing of it has been written, so that it never runs.
     pub fn withdraw(&mut self, now: Time, attempt: AttemptId) {
         self.now = self.now.max(now);
--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -125,6 +125,12 @@
         self.parts.values().filter(|part| part.cancelled_at.is_none()).count()
     }
 
+    /// Number of parts on it that are written completely, so that they may run, and not cancelled.
+    pub(super) fn active_written_parts(&self) -> usize {
+        let active = self.parts.values().filter(|part| part.cancelled_at.is_none());
+        active.filter(|part| part.written_at.is_some()).count()
+    }
+
     /// For each written part that is not cancelled: the start of the silence, and the part's silence limit.
     fn silences(&self) -> impl Iterator<Item = (Time, Duration)> {
         let active = self.parts.values().filter(|part| part.cancelled_at.is_none());
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -665,6 +665,30 @@
     }
 }
 
+// The other parts on an aborted connection may have run, and are reported so once the server can know of the
+// abort. What the abort cost is counted.
+#[test]
+fn other_parts_on_an_aborted_connection_may_have_run_and_are_counted() {
+    let mut fixture = fixture();
+    fixture.retry_safety = RetrySafety::Unsafe;
+    let cancelled = fixture.send(1);
+    fixture.send(2);
+    let (_stream, _) = fixture.server.accept().expect("a connection arrives");
+    fixture.write_all();
+    assert_eq!(fixture.backend.connection_count(), 1);
+    let now = fixture.net.clock.now();
+    fixture.backend.cancel(now, cancelled, Verdict::NoAnswer);
+    assert_eq!(fixture.backend.take_aborts(), AbortCounts::default());
+    let silent = now.after(fixture.aim / SILENCE_LIMIT_AIM_DIVISOR);
+    fixture.backend.check_liveness(&mut fixture.net, silent);
+    assert_eq!(fixture.backend.take_aborts(), AbortCounts { connections: 1, lost_parts: 1 });
+    assert_eq!(fixture.backend.take_aborts(), AbortCounts::default(), "taken only once");
+    fixture.backend.flush(&mut fixture.net, silent.after(CANCEL_READ_ALLOWANCE * 2));
+    let mut completed = completed_attempts(&fixture);
+    completed.sort_by_key(|(part, _)| *part);
+    assert_eq!(completed, [(PartId(1), Verdict::NoAnswer), (PartId(2), Verdict::ConnectionLost)]);
+}
+
 // A server that has answered a part written after the cancellation has read the cancellation: its connection
 // is kept, however long it is idle afterwards.
 #[test]
--- a/src/broker/operators.rs
+++ b/src/broker/operators.rs
@@ -36,6 +36,8 @@
         let statistics = self.operations.statistics();
         statistics.set_open_requests(self.core.open_queries());
         statistics.attempts_relayed(self.backend.take_relayed());
+        let aborts = self.backend.take_aborts();
+        statistics.connections_aborted(aborts.connections, aborts.lost_parts);
         self.operations.set_ready(self.is_ready());
     }
 
--- a/tests/operations/statistics.rs
+++ b/tests/operations/statistics.rs
@@ -11,7 +11,7 @@
 use socket2::SockRef;
 
 use crate::controlled_broker;
-use crate::harness::{Client, Harness, request, server_entry, wait_until};
+use crate::harness::{Client, Harness, request, server_entry, wait_until, wait_until_delivered};
 
 const CLASSES: [&str; 3] = ["search", "flag", "report"];
 
@@ -128,7 +128,8 @@
 
 /// Whether this is a counter, which never decreases.
 fn is_counter(name: &str) -> bool {
-    name.starts_with("operations.") || name == "relayed"
+    name.starts_with("operations.")
+        || ["relayed", "aborted_connections", "parts_lost_in_aborts"].contains(&name)
 }
 
 /// A broker with statistics. Each poll checks that no counter decreases, and the responses to clients are
@@ -211,7 +212,7 @@
     let mut test = StatisticsTest::start("zeros");
     test.wait_for_value("registry_entries", 2);
     let statistics = test.poll();
-    assert_eq!(statistics.len(), CLASSES.len() * 3 + 4);
+    assert_eq!(statistics.len(), CLASSES.len() * 3 + 6);
     let others = statistics.iter().filter(|(name, _)| *name != "registry_entries");
     assert!(others.into_iter().all(|(_, value)| *value == 0), "{statistics:?}");
 }
@@ -309,3 +310,33 @@
     test.wait_for_value("out_of_rotation", 1);
     assert_eq!(test.poll()["registry_entries"], 2);
 }
+
+// Two unsafe parts are in flight on one connection to a silent server. One client disconnects, so the
+// connection is aborted; the other client is told that its part may have run, and the part is not sent again.
+#[test]
+fn an_unsafe_part_on_an_aborted_connection_is_reported_as_one_that_may_have_run() {
+    let mut harness = controlled_broker("aborts", 1);
+    harness.set_config("/settings/profiles/0/effect", json!("unsafe"));
+    harness.set_config("/settings/profiles/0/aimNs", json!(1_200_000_000_u64));
+    harness.set_config("/settings/limits/mayProbe", json!(false));
+    harness.set_config("/settings/limits/maxAttempts", json!(4));
+    harness.start();
+    let (mut leaving, mut staying) = (harness.client(), harness.client());
+    harness.wait_until_input_processed();
+    harness.suspend();
+    leaving.send_query("search", "leaves", 0);
+    staying.send_query("search", "stays", 0);
+    wait_until_delivered(&leaving.stream);
+    wait_until_delivered(&staying.stream);
+    harness.resume();
+    let mut server = harness.servers[0].accept();
+    let mut parts = [server.next_part(), server.next_part()];
+    parts.sort();
+    assert_eq!(parts, ["leaves.0", "stays.0"]);
+    leaving.close();
+    assert_eq!(staying.read_status(), 502);
+    assert!(harness.servers[0].try_accept().is_none(), "the part was not sent again");
+    let (_, text) = harness.control_request("GET", "/ops/stats");
+    let statistics = parse(&text);
+    assert_eq!((statistics["aborted_connections"], statistics["parts_lost_in_aborts"]), (1, 1), "{text}");
+}
