Fleet: show that a cut delivers no effect of failed queries and killed brokers

Seen: nothing new.

Change: the ledger keeps each execution of a keyed or unsafe part, the clients keep when a request failed, and the new rule `LateEffect` finds an execution after a cut's end whose client knew of the failure during the cut, at least the 50 ms before that the protocol gives a server to read a cancellation.

--- a/crates/fleet/src/fault_log.rs
+++ b/crates/fleet/src/fault_log.rs
@@ -68,7 +68,11 @@
 #[derive(Clone, Debug)]
 struct LinkFault {
     links: Links,
+    /// Whether the links were cut.
+    is_cut: bool,
     from: Duration,
+    /// When the end of the rule was about to be set; none while it is in force.
+    end_began: Option<Duration>,
     /// The end; none while the rule is in force.
     until: Option<Duration>,
 }
@@ -111,10 +115,14 @@
         let mut open = self.link_faults.iter_mut().filter(|fault| fault.links == *links);
         let current = open.find(|fault| fault.until.is_none());
         match (current, rule.truncates_frames()) {
-            (Some(fault), false) => fault.until = Some(ended),
-            (None, true) => {
-                self.link_faults.push(LinkFault { links: links.clone(), from: began, until: None })
-            }
+            (Some(fault), false) => (fault.end_began, fault.until) = (Some(began), Some(ended)),
+            (None, true) => self.link_faults.push(LinkFault {
+                links: links.clone(),
+                is_cut: rule.is_cut(),
+                from: began,
+                end_began: None,
+                until: None,
+            }),
             (Some(_), true) | (None, false) => {}
         }
     }
@@ -136,6 +144,14 @@
             || link_faults.any(|fault| is_within(fault.from, fault.until.unwrap_or(Duration::MAX)))
     }
 
+    /// Whether a cut was in force at the first of two times and had ended at the second.
+    pub fn cut_ended_between(&self, first: Duration, second: Duration) -> bool {
+        let mut cuts = self.link_faults.iter().filter(|fault| fault.is_cut);
+        cuts.any(|cut| {
+            cut.from <= first && cut.end_began.is_some_and(|ended| first < ended && ended <= second)
+        })
+    }
+
     /// When the first upgrade or drain of a broker began, if it had one.
     pub fn seamless_from(&self, broker: usize) -> Option<Duration> {
         self.seamless_from.get(&broker).copied()
@@ -218,11 +234,28 @@
         let one_way = Rule { cut_back: true, ..Rule::default() };
         log.record_rule(&Links::AcrossZone(0), &one_way, MS * 40_000, MS * 40_001);
         assert!(log.excuses_truncation(MS * 60_000), "the cut lasts");
+        assert!(!log.cut_ended_between(MS * 40_000, MS * 60_000), "the cut lasts");
         let slow = Rule { delay: MS, loss: 0.5, rate: Some(1), ..Rule::default() };
         log.record_rule(&Links::AcrossZone(0), &slow, MS * 41_000, MS * 41_001);
         assert!(!log.excuses_truncation(MS * 60_000), "delays truncate no frame");
     }
 
+    #[test]
+    fn a_cut_has_ended_from_the_moment_at_which_it_was_to_be_lifted() {
+        let (cut, none) = (Rule::cut(), Rule::default());
+        let resets = Rule { reset: 0.1, ..Rule::default() };
+        let mut log = FaultLog::default();
+        log.record_rule(&Links::AcrossZone(0), &cut, MS * 1000, MS * 1001);
+        log.record_rule(&Links::AcrossZone(0), &none, MS * 2000, MS * 2001);
+        log.record_rule(&Links::All, &resets, MS * 5000, MS * 5001);
+        log.record_rule(&Links::All, &none, MS * 6000, MS * 6001);
+        assert!(log.cut_ended_between(MS * 1000, MS * 2000));
+        assert!(log.cut_ended_between(MS * 1999, MS * 9000));
+        for (first, second) in [(999, 9000), (2000, 9000), (1000, 1999), (5500, 9000)] {
+            assert!(!log.cut_ended_between(MS * first, MS * second), "{first} to {second}");
+        }
+    }
+
     #[test]
     fn the_first_upgrade_or_drain_of_a_broker_counts() {
         let mut log = FaultLog::default();
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -141,6 +141,15 @@
     pub status: Option<u16>,
 }
 
+/// A request that was answered with a failure.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FailedRequest {
+    /// The request id.
+    pub id: String,
+    /// When the client read the answer.
+    pub at: Duration,
+}
+
 /// The results of a load, as its clients observed them.
 #[derive(Debug)]
 pub struct ClientResults {
@@ -150,6 +159,8 @@
     pub times: Histogram<u64>,
     /// Requests that were never answered.
     pub unanswered: Vec<Unanswered>,
+    /// Requests that were answered with a failure.
+    pub failed: Vec<FailedRequest>,
     /// Requests that brokers refused or did not accept, including those that were retried.
     pub refused: Vec<Refusal>,
     /// Wrong answers: with a value that no server produced, or with a false claim to be complete. Each with
@@ -346,6 +357,7 @@
             outcomes: BTreeMap::new(),
             times,
             unanswered: Vec::new(),
+            failed: Vec::new(),
             refused: Vec::new(),
             wrong: Vec::new(),
             lateness: Duration::ZERO,
@@ -672,7 +684,10 @@
                 }
                 self.outcome_counts(&query).refused += 1;
             }
-            AttemptResult::Answered(_) => self.outcome_counts(&query).failed += 1,
+            AttemptResult::Answered(_) => {
+                self.results.failed.push(FailedRequest { id, at: now });
+                self.outcome_counts(&query).failed += 1;
+            }
         }
         self.open_queries -= 1;
     }
--- a/crates/fleet/src/proxy.rs
+++ b/crates/fleet/src/proxy.rs
@@ -61,7 +61,8 @@
         Rule { cut_there: true, cut_back: true, ..Rule::default() }
     }
 
-    fn is_cut(&self) -> bool {
+    /// Whether either direction is cut.
+    pub fn is_cut(&self) -> bool {
         self.cut_there || self.cut_back
     }
 
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -4,10 +4,10 @@
 //! Times in [`Record`] count in seconds from the clients' start; the other times count from the start of the
 //! run.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use badgergauge_standin::ledger::{Ledger, Rule, Violation};
+use badgergauge_standin::ledger::{Effect, Ledger, Rule, TIME_LIMIT_SLACK, Violation, query_id};
 use serde::{Deserialize, Serialize};
 
 use crate::attempt_log::AttemptLog;
@@ -304,6 +304,24 @@
     refused.map(violation).collect()
 }
 
+/// Parts with an effect that were executed when a cut had ended, although their clients had been told of a
+/// failure, or got no answer, during the cut. A server has [`TIME_LIMIT_SLACK`] to read a cancellation.
+fn late_effects(effects: &[Effect], seen: &ClientResults, faults: &FaultLog) -> Vec<Violation> {
+    let unanswered = seen.unanswered.iter().map(|lost| (lost.id.as_str(), lost.ended));
+    let failed = seen.failed.iter().map(|failed| (failed.id.as_str(), failed.at));
+    let told: HashMap<&str, Duration> = unanswered.chain(failed).collect();
+    let violation = |effect: &Effect| {
+        let told_at = *told.get(query_id(&effect.part_id))?;
+        faults.cut_ended_between(told_at + TIME_LIMIT_SLACK, effect.at).then(|| {
+            let late = effect.at.saturating_sub(told_at).as_millis();
+            let details =
+                format!("{} executed {late} ms after its client knew of the failure", effect.part_id);
+            Violation { at: effect.at, rule: Rule::LateEffect, details, second_copy: None }
+        })
+    };
+    effects.iter().filter_map(violation).collect()
+}
+
 /// The violations of a run, in time order, without those that the faults explain.
 pub fn violations(
     ledger: &Ledger,
@@ -342,6 +360,7 @@
         found.append(&mut closed);
     }
     found.extend(refusals(seen, faults, schedule));
+    found.extend(late_effects(&ledger.effects, seen, faults));
     found.extend(observations.violations.iter().cloned());
     let wrong = seen.wrong.iter();
     found.extend(wrong.map(|(at, details)| Violation {
@@ -449,7 +468,7 @@
 mod tests {
     use super::*;
     use crate::fault_log::InterruptionKind;
-    use crate::load::Unanswered;
+    use crate::load::{FailedRequest, Unanswered};
     use crate::proxy::Rule as NetworkRule;
     use crate::schedule::Links;
 
@@ -458,8 +477,8 @@
     fn seen(unanswered: Vec<Unanswered>) -> ClientResults {
         let times = hdrhistogram::Histogram::new(3).expect("valid precision");
         let outcomes = BTreeMap::from([(0, OutcomeCounts { offered: 300, ..OutcomeCounts::default() })]);
-        let (refused, wrong) = (Vec::new(), Vec::new());
-        ClientResults { outcomes, times, unanswered, refused, wrong, lateness: Duration::ZERO }
+        let (failed, refused, wrong) = (Vec::new(), Vec::new(), Vec::new());
+        ClientResults { outcomes, times, unanswered, failed, refused, wrong, lateness: Duration::ZERO }
     }
 
     fn lost(broker: usize, sent: Duration, ended: Duration, closed: bool) -> Unanswered {
@@ -547,6 +566,32 @@
         assert_eq!(all, expected);
     }
 
+    // A part is late if its client knew of the failure while a cut lasted that has ended when the part is
+    // executed. A server may execute it within the slack, or while the cut lasts.
+    #[test]
+    fn effects_after_a_cut_are_late_if_their_clients_knew_of_a_failure() {
+        let ms = Duration::from_millis;
+        let mut seen = seen(vec![lost(0, S * 10, ms(11_000), true)]);
+        seen.failed.push(FailedRequest { id: "b1-u7-1-2".into(), at: ms(11_960) });
+        let mut faults = FaultLog::default();
+        faults.record_rule(&Links::AcrossZone(1), &NetworkRule::cut(), S * 11, S * 11);
+        faults.record_rule(&Links::AcrossZone(1), &NetworkRule::default(), S * 12, S * 12);
+        let late = |part_id: &str, at: Duration| {
+            let effects = vec![Effect { part_id: part_id.into(), at }];
+            let found = late_effects(&effects, &seen, &faults);
+            found.iter().map(|violation| violation.rule).collect::<Vec<_>>()
+        };
+        assert_eq!(late("b0-1.3", S * 12), [Rule::LateEffect]);
+        assert_eq!(late("b0-1.3", ms(11_999)), [], "the cut lasts");
+        assert_eq!(late("b0-2.3", S * 12), [], "a query that was answered");
+        assert_eq!(late("b1-u7-1-2.3", ms(12_001)), [], "told less than the slack before the end of the cut");
+        seen.failed[0].at = ms(11_949);
+        let late_part = Effect { part_id: "b1-u7-1-2.3".into(), at: ms(12_500) };
+        let found = late_effects(&[late_part], &seen, &faults);
+        assert_eq!(found.len(), 1);
+        assert_eq!(found[0].details, "b1-u7-1-2.3 executed 551 ms after its client knew of the failure");
+    }
+
     #[test]
     fn upgrades_and_drains_are_recorded_relative_to_the_clients_start() {
         let mut observations = RunObservations::default();
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -52,6 +52,9 @@
     /// A keyed part was executed again after its idempotency window, or a part of an unsafe class was
     /// executed again at all.
     Doubled,
+    /// A part of a keyed or unsafe class was executed after a network cut had ended, although its client had
+    /// been told of a failure, or got no answer, during the cut.
+    LateEffect,
     /// A part was sent to a server that the broker knew to be draining.
     Drained,
     /// A cold server crashed under its load.
@@ -107,6 +110,15 @@
     pub key: Option<&'a str>,
 }
 
+/// An execution of a part of a keyed or unsafe class.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Effect {
+    /// The part's id.
+    pub part_id: String,
+    /// When it was executed.
+    pub at: Duration,
+}
+
 /// An attempt of a part in flight.
 #[derive(Clone, Copy, Debug)]
 struct InFlight {
@@ -128,6 +140,8 @@
     /// Number of times that a keyed part was executed again within its window, where the servers deduplicate
     /// it.
     pub reruns_in_window: u32,
+    /// The executions of parts of keyed and unsafe classes.
+    pub effects: Vec<Effect>,
     /// How long servers remember an idempotency key after its part was first executed.
     pub idempotency_window: Duration,
     /// The address from which each open connection came.
@@ -144,6 +158,11 @@
     drain_known_since: HashMap<(usize, usize), Duration>,
 }
 
+/// The id of the query that a part belongs to.
+pub fn query_id(part_id: &str) -> &str {
+    part_id.rsplit_once('.').map_or(part_id, |(query, _)| query)
+}
+
 /// The index of the broker that sent a part: the harness's ids begin with `b` and that index.
 pub fn broker_index(id: &str) -> Option<usize> {
     id.strip_prefix('b')?.split('-').next()?.parse().ok()
@@ -244,6 +263,7 @@
             (None, Some(query)) => (query, Duration::ZERO),
             (None, None) => return,
         };
+        self.effects.push(Effect { part_id: part.id.to_owned(), at: now });
         let first = match self.first_executed.entry((identity.to_owned(), part.shard)) {
             Entry::Occupied(entry) => *entry.get(),
             Entry::Vacant(entry) => {
@@ -354,6 +374,9 @@
         }
         ledger.part_executed(MS * 500, PartRef { key: None, ..part("b0-1.3") });
         assert_eq!((rules(&ledger), ledger.reruns_in_window), (vec![Rule::Doubled], 2));
+        let last = Effect { part_id: "b0-1.3".into(), at: MS * 151 };
+        assert_eq!((ledger.effects.len(), ledger.effects.last()), (4, Some(&last)), "none of a safe class");
+        assert_eq!(query_id("b0-1.3"), "b0-1");
     }
 
     #[test]
