Fault proxy: test that a reset is not noticed across a one-way cut

On this kernel a reset discards what the receiver has not read, which the old proxy relied on without saying so.

What did change is the side that goes on sending: in a one-way cut the old proxy told it of the reset at once, as its data could not be delivered. The new test checks that.

--- a/crates/fleet/tests/faults.rs
+++ b/crates/fleet/tests/faults.rs
@@ -117,6 +117,26 @@
     }
 }
 
+// A one-way cut hides the sender's reset from the other side, whose own data still crosses: neither the reset nor
+// the failure to deliver that data comes back before the cut ends.
+#[test]
+fn a_reset_is_not_noticed_across_a_cut_by_a_side_that_goes_on_sending() {
+    let (server, proxy, link, at) = proxied_server();
+    let (mut client, mut peer) = connect(&server, at);
+    client.write_all(b"a").expect("written");
+    assert_eq!(read_byte(&peer, TIMEOUT).expect("received"), b'a');
+    proxy.send(ProxyCommand::SetRule(vec![link], Rule { cut_back: false, ..Rule::cut() }));
+    wait_until(|| TcpStream::connect_timeout(&at, NO_DATA_WAIT).is_err());
+    socket2::SockRef::from(&client).set_linger(Some(Duration::ZERO)).expect("set");
+    drop(client);
+    for _ in 0..2 {
+        peer.write_all(b"b").expect("the connection is still open on this side");
+        assert!(receives_nothing(&peer), "a reset passed a cut link");
+    }
+    proxy.send(ProxyCommand::SetRule(vec![link], Rule::default()));
+    assert_eq!(read_byte(&peer, TIMEOUT).map_err(|error| error.kind()), Err(ErrorKind::ConnectionReset));
+}
+
 /// Sends a part into a cut, gives it up with or without a reset, and sends it to another server. Returns the
 /// rules that are violated when the cut ends after the idempotency window.
 fn rules_violated_by_a_part_sent_into_a_cut(reset: bool) -> Vec<ViolatedRule> {
