--- a/tests/fleet/soak.rs
+++ b/tests/fleet/soak.rs
@@ -1,4 +1,4 @@
-//! Randomly drawn scenarios with overlapping events, for a few fixed seeds. `badgergauge fleet soak` runs
+//! Randomly drawn scenarios with overlapping events, for a few fixed seeds and one that found a fault. `badgergauge fleet soak` runs
 //! more.
 
 use std::path::Path;
@@ -41,4 +41,5 @@
     seed_6: 6,
     seed_7: 7,
     seed_8: 8,
+    seed_111: 111,
 }
