Fleet tests: write scripts in a child process, so that they can be executed

Cause by reading, not reproduced: `script` wrote the file in the test process while other tests fork brokers. A child between fork and exec holds every descriptor, also one that is open for writing, and execve of such a file fails with ETXTBSY.

The four tests that use scripts are otherwise unchanged.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -6,7 +6,9 @@
 mod late_actions;
 mod soak;
 
+use std::io::Write;
 use std::path::Path;
+use std::process::{Command, Stdio};
 use std::sync::{Condvar, Mutex, PoisonError};
 
 use badgergauge_fleet::record::{Record, Row};
@@ -446,12 +448,21 @@
 seconds: 1
 ";
 
-/// Writes a shell script that runs in place of the broker's program.
+/// Writes a shell script that runs in place of the broker's program. A child process writes it: a broker that
+/// another test forks meanwhile would hold a file of this process open for writing, and a file that is open
+/// for writing can't be executed.
 fn script(name: &str, text: &str) -> std::path::PathBuf {
-    use std::os::unix::fs::PermissionsExt;
     let path = std::env::temp_dir().join(format!("badgergauge-fleet-{}-{name}.sh", std::process::id()));
-    std::fs::write(&path, format!("#!/bin/sh\n{text}\n")).expect("written");
-    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o700)).expect("set");
+    let mut writer = Command::new("sh")
+        .args(["-c", "cat > \"$0\" && chmod 700 \"$0\""])
+        .arg(&path)
+        .stdin(Stdio::piped())
+        .spawn()
+        .expect("a shell");
+    let mut input = writer.stdin.take().expect("piped");
+    input.write_all(format!("#!/bin/sh\n{text}\n").as_bytes()).expect("written");
+    drop(input);
+    assert!(writer.wait().expect("ended").success(), "{} is not written", path.display());
     path
 }
 
