Review case: an answer whose length does not fit reaches the client as served

Cause: frames before bytes that can't be a frame are handled as valid, also where the length of the last one is what is wrong. Change: review/2 with its script; the tile server stand-in can state too short a length.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -15,6 +15,8 @@
 
 #[path = "1/case.rs"]
 mod crowd;
+#[path = "2/case.rs"]
+mod spoilt;
 
 pub type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
 
@@ -742,6 +744,7 @@
             Setup { root: PathBuf::from(root), folder: folder.clone(), record: record.clone(), trouble };
         let held = match case.as_str() {
             "crowd" => crowd::run(&setup),
+            "spoilt" => spoilt::run(&setup),
             _ => Err(format!("no case {case}").into()),
         };
         // What the broker logged belongs to the record.
