--- a/review/standin.rs
+++ b/review/standin.rs
@@ -15,6 +15,8 @@
 
 #[path = "1/case.rs"]
 mod crowd;
+#[path = "3/case.rs"]
+mod inventory;
 #[path = "2/case.rs"]
 mod spoilt;
 
@@ -745,6 +747,7 @@
         let held = match case.as_str() {
             "crowd" => crowd::run(&setup),
             "spoilt" => spoilt::run(&setup),
+            "inventory" => inventory::run(&setup),
             _ => Err(format!("no case {case}").into()),
         };
         // What the broker logged belongs to the record.
