Malformed responses: log server, reason and frames before; two metrics

The log line names the server's address, the reason, the lengths of the complete frames in front of it and the parts in flight. The control endpoint counts `malformed_responses` (connections closed so, also those whose frame was not completed in time) and `unconfirmed_answers` (complete answers directly in front of bytes that can't be a frame).

The test of the number of statistics counts the two new ones (6 to 8 beside the classes'), otherwise unchanged.

--- a/crates/control/src/statistics.rs
+++ b/crates/control/src/statistics.rs
@@ -33,6 +33,8 @@
     relayed: Counter,
     aborted_connections: Counter,
     parts_lost_in_aborts: Counter,
+    malformed_responses: Counter,
+    unconfirmed_answers: Counter,
     open_requests: Gauge<u64, AtomicU64>,
     registry_entries: Gauge<u64, AtomicU64>,
     out_of_rotation: Gauge<u64, AtomicU64>,
@@ -52,6 +54,8 @@
             relayed: Counter::default(),
             aborted_connections: Counter::default(),
             parts_lost_in_aborts: Counter::default(),
+            malformed_responses: Counter::default(),
+            unconfirmed_answers: Counter::default(),
             open_requests: Gauge::default(),
             registry_entries: Gauge::default(),
             out_of_rotation: Gauge::default(),
@@ -81,6 +85,13 @@
         self.parts_lost_in_aborts.inc_by(lost_parts);
     }
 
+    /// Adds to the number of connections to tile servers that were closed because of a malformed response, and
+    /// to that of the answers directly in front of bytes that can't be a frame.
+    pub fn responses_malformed(&self, connections: u64, unconfirmed_answers: u64) {
+        self.malformed_responses.inc_by(connections);
+        self.unconfirmed_answers.inc_by(unconfirmed_answers);
+    }
+
     /// Sets the number of requests that are accepted and not yet completed.
     pub fn set_open_requests(&self, requests: usize) {
         self.open_requests.set(requests as u64);
@@ -109,6 +120,8 @@
         line("relayed", self.relayed.get());
         line("aborted_connections", self.aborted_connections.get());
         line("parts_lost_in_aborts", self.parts_lost_in_aborts.get());
+        line("malformed_responses", self.malformed_responses.get());
+        line("unconfirmed_answers", self.unconfirmed_answers.get());
         line("open_requests", self.open_requests.get());
         line("registry_entries", self.registry_entries.get());
         line("out_of_rotation", self.out_of_rotation.get());
--- a/crates/control/tests/endpoint.rs
+++ b/crates/control/tests/endpoint.rs
@@ -238,6 +238,7 @@
         balancer.operations.alpha.faulted=0\nbalancer.operations.beta.fulfilled=0\n\
         balancer.operations.beta.throttled=0\nbalancer.operations.beta.faulted=0\nbalancer.relayed=0\n\
         balancer.aborted_connections=0\nbalancer.parts_lost_in_aborts=0\n\
+        balancer.malformed_responses=0\nbalancer.unconfirmed_answers=0\n\
         balancer.open_requests=0\nbalancer.registry_entries=0\nbalancer.out_of_rotation=0\n";
     assert_eq!(fixture.request("GET", "/ops/stats"), (200, zeros.to_owned()));
     let statistics = fixture.operations.statistics();
@@ -254,12 +255,15 @@
     statistics.attempts_relayed(4);
     statistics.connections_aborted(1, 5);
     statistics.connections_aborted(2, 0);
+    statistics.responses_malformed(1, 0);
+    statistics.responses_malformed(2, 1);
     statistics.set_open_requests(9);
     statistics.set_servers(8, 2);
     let expected = "balancer.operations.alpha.fulfilled=1\nbalancer.operations.alpha.throttled=0\n\
         balancer.operations.alpha.faulted=0\nbalancer.operations.beta.fulfilled=0\n\
         balancer.operations.beta.throttled=2\nbalancer.operations.beta.faulted=1\nbalancer.relayed=7\n\
         balancer.aborted_connections=3\nbalancer.parts_lost_in_aborts=5\n\
+        balancer.malformed_responses=3\nbalancer.unconfirmed_answers=1\n\
         balancer.open_requests=9\nbalancer.registry_entries=8\nbalancer.out_of_rotation=2\n";
     assert_eq!(fixture.request("GET", "/ops/stats"), (200, expected.to_owned()));
 }
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -5,7 +5,10 @@
 mod connection;
 mod connection_losses;
 mod frame;
+mod frame_reader;
 mod liveness;
+mod response_error;
+mod responses;
 mod selection;
 
 use std::collections::HashMap;
@@ -18,12 +21,13 @@
 use self::connect_time::ConnectTime;
 use self::connection::{Connection, PartState};
 use self::connection_losses::ConnectionLosses;
-use self::frame::{Frame, decode_response, parse_load_report};
+use self::frame::Frame;
 use self::liveness::{ProbeCounts, SILENCE_LIMIT_AIM_DIVISOR};
+pub use self::response_error::MalformedCounts;
 use crate::config::settings::SiteSettings;
 use crate::core::{AttemptId, SendAttempt};
 use crate::interface::{LoadReport, RetrySafety, ServerId, Time, Verdict};
-use crate::net::{Net, TimerEvent};
+use crate::net::Net;
 
 /// The result of an attempt or a probe.
 #[derive(Clone, Debug, PartialEq)]
@@ -109,6 +113,8 @@
     relayed: u64,
     /// Connections aborted since this was last taken.
     aborts: AbortCounts,
+    /// Connections closed because of malformed responses since this was last taken.
+    malformed: MalformedCounts,
     /// Results that have not been collected yet.
     pub completions: Vec<Completion>,
     /// The latest time passed to any call.
@@ -140,6 +146,7 @@
             probe_counts: ProbeCounts::default(),
             relayed: 0,
             aborts: AbortCounts::default(),
+            malformed: MalformedCounts::default(),
             completions: Vec::new(),
             now: Time(0),
             withheld_outcomes: Vec::new(),
@@ -365,27 +372,7 @@
             }
         }
         self.complete_expired(key);
-        let Some(connection) = self.connections.get_mut(&key) else { return true };
-        let (server, partial_before) = (connection.server, connection.partial_since);
-        let (frames, mut valid) = connection.take_frames();
-        connection.partial_since = if connection.received.is_empty() {
-            None
-        } else {
-            partial_before.filter(|_| frames.is_empty()).or(Some(now))
-        };
-        if connection.partial_since.is_some() && connection.partial_since != partial_before {
-            net.timers.arm(now.after(self.response_stall_timeout()), TimerEvent::ResponseStalled(key));
-        }
-        // Complete frames before the malformed one are valid; after it, frame boundaries are unknown.
-        for frame in &frames {
-            if !self.handle_frame(now, key, server, frame) {
-                valid = false;
-                break;
-            }
-        }
-        if !valid {
-            tracing::warn!("closing a connection to a tile server: malformed response");
-        }
+        let valid = self.handle_responses(net, now, key);
         match (result, valid) {
             (Ok(()), true) => self.rearm(net, key, true),
             (Err(_), _) => self.close_connection(net, key, ClosedBy::Peer),
@@ -394,24 +381,6 @@
         true
     }
 
-    /// How long a frame may stay partially received.
-    fn response_stall_timeout(&self) -> Duration {
-        self.settings.connect_timeout.min(self.min_silence_limit * 2)
-    }
-
-    /// Closes a connection whose frame has stayed partially received for too long. A server writes each frame
-    /// at once, so the length of an unfinished one is wrong, and all following responses would be taken for
-    /// its content.
-    pub fn on_response_stalled(&mut self, net: &Net, now: Time, key: usize) {
-        self.now = self.now.max(now);
-        let limit = now.before(self.response_stall_timeout());
-        let partial_since = self.connections.get(&key).and_then(|connection| connection.partial_since);
-        if partial_since.is_some_and(|since| since <= limit) {
-            tracing::warn!("closing a connection to a tile server: response not completed in time");
-            self.close_connection(net, key, ClosedBy::Broker);
-        }
-    }
-
     /// Closes a connection if it is not established yet.
     pub fn on_connect_timeout(&mut self, net: &Net, key: usize) {
         if self.connections.get(&key).is_some_and(|connection| !connection.connected) {
@@ -511,63 +480,6 @@
         }
     }
 
-    /// Handles one frame from a server. Returns whether it was valid: it is unknown which part a malformed
-    /// response belongs to, so all parts in flight on the connection have failed.
-    fn handle_frame(&mut self, now: Time, key: usize, server: ServerId, frame: &[u8]) -> bool {
-        let Some(connection) = self.connections.get_mut(&key) else { return false };
-        match frame.split_first() {
-            Some((b'a', payload)) => {
-                let Some((wire_id, verdict, value, load)) = decode_response(payload) else { return false };
-                // A response to a part that is not completely written is invalid.
-                let Some((part, written_at)) =
-                    connection.parts.get(wire_id).and_then(|part| Some((part, part.written_at?)))
-                else {
-                    return wire_id == connection.last_answered;
-                };
-                if let Some(server) = self.servers.get_mut(&server) {
-                    server.last_answered_written = server.last_answered_written.max(written_at);
-                }
-                connection.answered_written = connection.answered_written.max(written_at);
-                // The response to a cancelled attempt is discarded: its outcome is settled.
-                if part.cancelled_at.is_none() && self.attempts.remove(&part.attempt).is_some() {
-                    self.completions.push(Completion::Attempt {
-                        attempt: part.attempt,
-                        verdict,
-                        value,
-                        load,
-                    });
-                }
-                connection.parts.remove(wire_id);
-                wire_id.clone_into(&mut connection.last_answered);
-            }
-            Some((b'p' | b'l', payload)) => {
-                let Some(queued_at) = connection.probes.pop_front() else { return false };
-                if let Some(server) = self.servers.get_mut(&server) {
-                    server.last_answered_written = server.last_answered_written.max(queued_at);
-                }
-                connection.answered_written = connection.answered_written.max(queued_at);
-                let (verdict, load) = match payload {
-                    b"broke" => (Verdict::Error, LoadReport::default()),
-                    report => (Verdict::Served, parse_load_report(&String::from_utf8_lossy(report))),
-                };
-                self.completions.push(Completion::Probe {
-                    server,
-                    verdict,
-                    round_trip: now.since(queued_at),
-                    load,
-                });
-            }
-            Some((b'e', message)) => {
-                tracing::warn!(
-                    "a tile server reported an invalid frame: {}",
-                    String::from_utf8_lossy(message)
-                );
-            }
-            _ => return false,
-        }
-        true
-    }
-
     /// Number of connections, including those being established.
     pub fn connection_count(&self) -> usize {
         self.connections.len()
--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -9,6 +9,7 @@
 use socket2::SockRef;
 
 use super::frame::{Frame, MAX_FRAME_BYTES, encode};
+use super::frame_reader::FrameReader;
 use super::liveness::DEAD_SILENCE_MULTIPLE;
 use crate::config::settings::SiteSettings;
 use crate::core::AttemptId;
@@ -16,9 +17,6 @@
 use crate::net::clock::Clock;
 use crate::net::outbox::{MAX_IO_SLICES, Outbox};
 
-/// Capacity of the receive buffer that is kept between responses, which are usually short, in bytes.
-const RETAINED_BUFFER_BYTES: usize = 4 * 1024;
-
 /// A part that was assigned to a connection and is not answered yet.
 pub(super) struct PartState {
     pub(super) attempt: AttemptId,
@@ -49,7 +47,7 @@
     pub(super) encoded: VecDeque<Frame>,
     pub(super) outbox: Outbox,
     /// Bytes received that are not a complete frame yet.
-    pub(super) received: Vec<u8>,
+    pub(super) reader: FrameReader,
     /// Since when a frame has been partially received.
     pub(super) partial_since: Option<Time>,
     /// Since when a frame has been partially written without any progress.
@@ -93,7 +91,7 @@
             queued: VecDeque::new(),
             encoded: VecDeque::new(),
             outbox: Outbox::default(),
-            received: Vec::new(),
+            reader: FrameReader::default(),
             partial_since: None,
             write_blocked_since: None,
             answered_written: Time(0),
@@ -279,9 +277,9 @@
                 Ok(read) => {
                     (self.last_used, self.last_received, self.suspect, self.probed) =
                         (now, now, false, false);
-                    self.received.extend_from_slice(&buffer[..read]);
+                    self.reader.push(&buffer[..read]);
                     // The poller reports the rest again after these frames are handled.
-                    if self.received.len() > MAX_FRAME_BYTES + buffer.len() {
+                    if self.reader.len() > MAX_FRAME_BYTES + buffer.len() {
                         return Ok(());
                     }
                 }
@@ -292,26 +290,6 @@
         }
     }
 
-    /// Removes the complete frames from the receive buffer, and returns them with whether the remaining bytes
-    /// may be the start of a valid frame.
-    pub(super) fn take_frames(&mut self) -> (Vec<Vec<u8>>, bool) {
-        let (mut frames, mut at, mut valid) = (Vec::new(), 0, true);
-        while let Some((length, rest)) = self.received[at..].split_first_chunk::<4>() {
-            let length = u32::from_be_bytes(*length) as usize;
-            let known_type = rest.first().is_none_or(|letter| b"aepl".contains(letter));
-            if length == 0 || length > MAX_FRAME_BYTES || !known_type {
-                valid = false;
-                break;
-            }
-            let Some(frame) = rest.get(..length) else { break };
-            frames.push(frame.to_vec());
-            at += 4 + length;
-        }
-        self.received.drain(..at);
-        self.received.shrink_to(RETAINED_BUFFER_BYTES);
-        (frames, valid)
-    }
-
     /// Withdraws an attempt if nothing of its frame is written. Returns whether it did.
     pub(super) fn withdraw(&mut self, attempt: AttemptId) -> bool {
         self.requeue_unwritten();
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -1,9 +1,11 @@
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 
+use super::frame::parse_load_report;
 use super::liveness::DEAD_SILENCE_MULTIPLE;
 use super::*;
 use crate::interface::PartId;
+use crate::net::TimerEvent;
 use crate::net::clock::Clock;
 
 struct Fixture {
--- a/src/broker/operators.rs
+++ b/src/broker/operators.rs
@@ -38,6 +38,8 @@
         statistics.attempts_relayed(self.backend.take_relayed());
         let aborts = self.backend.take_aborts();
         statistics.connections_aborted(aborts.connections, aborts.lost_parts);
+        let malformed = self.backend.take_malformed();
+        statistics.responses_malformed(malformed.connections, malformed.unconfirmed_answers);
         self.operations.set_ready(self.is_ready());
     }
 
--- a/tests/operations/statistics.rs
+++ b/tests/operations/statistics.rs
@@ -129,7 +129,14 @@
 /// Whether this is a counter, which never decreases.
 fn is_counter(name: &str) -> bool {
     name.starts_with("operations.")
-        || ["relayed", "aborted_connections", "parts_lost_in_aborts"].contains(&name)
+        || [
+            "relayed",
+            "aborted_connections",
+            "parts_lost_in_aborts",
+            "malformed_responses",
+            "unconfirmed_answers",
+        ]
+        .contains(&name)
 }
 
 /// A broker with statistics. Each poll checks that no counter decreases, and the responses to clients are
@@ -212,7 +219,7 @@
     let mut test = StatisticsTest::start("zeros");
     test.wait_for_value("registry_entries", 2);
     let statistics = test.poll();
-    assert_eq!(statistics.len(), CLASSES.len() * 3 + 6);
+    assert_eq!(statistics.len(), CLASSES.len() * 3 + 8);
     let others = statistics.iter().filter(|(name, _)| *name != "registry_entries");
     assert!(others.into_iter().all(|(_, value)| *value == 0), "{statistics:?}");
 }
