Discard an answer whose stated length is contradicted by the bytes behind it

Cause: the length that a frame states is all that delimits a value. The server stated 8 bytes too few; the broker found that what followed could not be a frame, closed the connection, and still passed on the value, since complete frames in front of unreadable bytes counted as valid. Of a length prefix that was not complete nothing was judged, so a length too short by 1 to 3 bytes left even the connection open.

Fix: the frame directly in front of bytes that can't be a frame is discarded, its attempt fails and may have run, and a part that may be repeated goes to another replica. A length prefix is judged from its first byte on: a frame starts with 0, then 0 or 1, as lengths end at 64 KiB, and the rest of a text doesn't. That works as every length that is too short leaves such a rest in the same write, while the frames in front of the discarded one are confirmed by the start of the next and still count.

--- a/src/backend/frame_reader.rs
+++ b/src/backend/frame_reader.rs
@@ -1,4 +1,8 @@
 //! Splits the bytes received from a tile server into frames. Without I/O.
+//!
+//! The length that a frame states is all that delimits a value. A length that is too short shows only in what
+//! follows: the rest of the value can't be the start of a frame, whose first byte is 0 and whose second is 0 or
+//! 1, as [`MAX_FRAME_BYTES`] bounds its length. The frame in front of such bytes is therefore discarded.
 
 use super::frame::MAX_FRAME_BYTES;
 use super::response_error::ResponseError;
@@ -13,10 +17,13 @@
 /// The frames taken from the buffer at once.
 #[derive(Debug)]
 pub(super) struct TakenFrames {
-    /// The complete frames without their length prefixes, in the order received.
+    /// The complete frames without their length prefixes, in the order received. The bytes behind each of them
+    /// are the start of a frame, or have not been received yet.
     pub(super) frames: Vec<Vec<u8>>,
     /// Why the bytes behind the complete frames can't be a frame.
     pub(super) error: Option<ResponseError>,
+    /// The complete frame directly in front of bytes that can't be a frame: its stated length may be wrong.
+    pub(super) unconfirmed: Option<Vec<u8>>,
 }
 
 /// Buffer of the bytes received on a connection that are not a complete frame yet.
@@ -43,33 +50,43 @@
 
     /// Removes the complete frames from the buffer.
     pub(super) fn take_frames(&mut self) -> TakenFrames {
-        let (mut frames, mut at, mut error) = (Vec::new(), 0, None);
-        while let Some((length, rest)) = self.received[at..].split_first_chunk::<LENGTH_PREFIX_BYTES>() {
-            let length = match frame_length(*length, rest.first()) {
-                Ok(length) => length,
-                Err(invalid) => {
-                    error = Some(invalid);
-                    break;
-                }
+        let (mut frames, mut at) = (Vec::new(), 0);
+        let error = loop {
+            let rest = &self.received[at..];
+            let length = match frame_length(rest) {
+                Ok(Some(length)) => length,
+                Ok(None) => break None,
+                Err(error) => break Some(error),
             };
-            let Some(frame) = rest.get(..length) else { break };
+            let Some(frame) = rest.get(LENGTH_PREFIX_BYTES..LENGTH_PREFIX_BYTES + length) else { break None };
             frames.push(frame.to_vec());
             at += LENGTH_PREFIX_BYTES + length;
-        }
+        };
         self.received.drain(..at);
         self.received.shrink_to(RETAINED_BUFFER_BYTES);
-        TakenFrames { frames, error }
+        let unconfirmed = if error.is_some() { frames.pop() } else { None };
+        TakenFrames { frames, error, unconfirmed }
     }
 }
 
-/// Decodes a frame's length; `letter` is the first byte behind it, once that is received.
-fn frame_length(prefix: [u8; LENGTH_PREFIX_BYTES], letter: Option<&u8>) -> Result<usize, ResponseError> {
+/// Returns the length that the frame at the start of `bytes` states, or `None` if too few bytes are received to
+/// tell.
+///
+/// # Errors
+///
+/// If no frame starts like this, however it continues.
+fn frame_length(bytes: &[u8]) -> Result<Option<usize>, ResponseError> {
+    let received = bytes.len().min(LENGTH_PREFIX_BYTES);
+    let mut prefix = [0; LENGTH_PREFIX_BYTES];
+    prefix[..received].copy_from_slice(&bytes[..received]);
+    // The lowest length with these first bytes.
     let length = u32::from_be_bytes(prefix);
-    if length == 0 || length as usize > MAX_FRAME_BYTES {
+    let is_complete = received == LENGTH_PREFIX_BYTES;
+    if length as usize > MAX_FRAME_BYTES || (is_complete && length == 0) {
         return Err(ResponseError::LengthOutOfRange(length));
     }
-    match letter {
+    match bytes.get(LENGTH_PREFIX_BYTES) {
         Some(letter) if !FRAME_LETTERS.contains(letter) => Err(ResponseError::UnknownLetter(*letter)),
-        _ => Ok(length as usize),
+        _ => Ok(is_complete.then_some(length as usize)),
     }
 }
--- a/src/backend/response_error.rs
+++ b/src/backend/response_error.rs
@@ -6,7 +6,8 @@
 /// follows, or the part that a response belongs to, are unknown.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub(super) enum ResponseError {
-    /// The stated length of a frame is outside the allowed range.
+    /// The stated length of a frame is outside the allowed range; the lowest possible one if the length prefix is
+    /// not completely received.
     #[error("a frame states a length of {0} bytes, which is not from 1 to {MAX_FRAME_BYTES}")]
     LengthOutOfRange(u32),
     /// A frame starts with a letter that the protocol does not have.
@@ -28,6 +29,6 @@
 pub struct MalformedCounts {
     /// Connections closed.
     pub connections: u64,
-    /// Answers directly in front of bytes that can't be a frame.
+    /// Answers that were discarded, as the bytes directly behind them can't be a frame.
     pub unconfirmed_answers: u64,
 }
--- a/src/backend/responses.rs
+++ b/src/backend/responses.rs
@@ -42,14 +42,14 @@
     fn count_malformed(&mut self, key: usize, error: &ResponseError, taken: &TakenFrames) {
         let Some(connection) = self.connections.get(&key) else { return };
         self.malformed.connections += 1;
-        if let (Some(_), Some([b'a', ..])) = (&taken.error, taken.frames.last().map(Vec::as_slice)) {
+        if let Some([b'a', ..]) = taken.unconfirmed.as_deref() {
             self.malformed.unconfirmed_answers += 1;
         }
         tracing::warn!(
-            "closing a connection to a tile server: malformed response from {}: {error}, after frames of {:?} \
-             bytes in the same read; {} parts in flight on it: check the server's log and version",
+            "closing a connection to a tile server: malformed response from {}: {error}; discarded in front of \
+             it: {} bytes; {} parts in flight on it: check the server's log and version",
             connection.address,
-            taken.frames.iter().map(Vec::len).collect::<Vec<_>>(),
+            taken.unconfirmed.as_ref().map_or(0, Vec::len),
             connection.active_parts(),
         );
     }
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -735,3 +735,5 @@
         assert_eq!(rest_after_part(&mut stream).map_err(|error| error.kind()), expected);
     }
 }
+
+mod malformed;
