Discard a response that contains the start of another one: its length is too long

A client would get a value that ends in the frame of another part's answer, served and full.

Cause: a length that is too long makes the broker wait for more, and the next answer on the connection completes the frame if it ends where the stated length ends. Where it ends elsewhere the bytes behind give the frame away, but for one byte too many in front of a query id that starts with `a` or `e`.

Fix: a frame that contains what starts a frame, or ends in the beginning of such a start, is discarded like one that is contradicted by the bytes behind it.

--- a/crates/control/src/statistics.rs
+++ b/crates/control/src/statistics.rs
@@ -86,7 +86,7 @@
     }
 
     /// Adds to the number of connections to tile servers that were closed because of a malformed response, and
-    /// to that of the answers discarded as the bytes directly behind them can't be a frame.
+    /// to that of the answers discarded as their stated length may be wrong.
     pub fn responses_malformed(&self, connections: u64, unconfirmed_answers: u64) {
         self.malformed_responses.inc_by(connections);
         self.unconfirmed_answers.inc_by(unconfirmed_answers);
--- a/src/backend/frame_reader.rs
+++ b/src/backend/frame_reader.rs
@@ -2,7 +2,8 @@
 //!
 //! The length that a frame states is all that delimits a value. A length that is too short shows only in what
 //! follows: the rest of the value can't be the start of a frame, whose first byte is 0 and whose second is 0 or
-//! 1, as [`MAX_FRAME_BYTES`] bounds its length. The frame in front of such bytes is therefore discarded.
+//! 1, as [`MAX_FRAME_BYTES`] bounds its length. The frame in front of such bytes is therefore discarded. A length
+//! that is too long shows in the frame itself once another one follows: it contains the start of that one.
 
 use super::frame::MAX_FRAME_BYTES;
 use super::response_error::ResponseError;
@@ -22,7 +23,8 @@
     pub(super) frames: Vec<Vec<u8>>,
     /// Why the bytes behind the complete frames can't be a frame.
     pub(super) error: Option<ResponseError>,
-    /// The complete frame directly in front of bytes that can't be a frame: its stated length may be wrong.
+    /// The complete frame whose stated length may be wrong: the bytes directly behind it can't be a frame, or it
+    /// contains the start of another one.
     pub(super) unconfirmed: Option<Vec<u8>>,
 }
 
@@ -60,6 +62,9 @@
             };
             let Some(frame) = rest.get(LENGTH_PREFIX_BYTES..LENGTH_PREFIX_BYTES + length) else { break None };
             frames.push(frame.to_vec());
+            if contains_frame_start(frame) {
+                break Some(ResponseError::EmbeddedFrame);
+            }
             at += LENGTH_PREFIX_BYTES + length;
         };
         self.received.drain(..at);
@@ -69,6 +74,12 @@
     }
 }
 
+/// Whether the start of another frame, or the beginning of such a start at its end, is part of a frame.
+fn contains_frame_start(frame: &[u8]) -> bool {
+    let zero_bytes = frame.iter().enumerate().filter(|(_, byte)| **byte == 0);
+    zero_bytes.map(|(at, _)| &frame[at..]).any(|rest| frame_length(rest).is_ok())
+}
+
 /// Returns the length that the frame at the start of `bytes` states, or `None` if too few bytes are received to
 /// tell.
 ///
@@ -90,3 +101,6 @@
         _ => Ok(is_complete.then_some(length as usize)),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/backend/response_error.rs
+++ b/src/backend/response_error.rs
@@ -13,6 +13,9 @@
     /// A frame starts with a letter that the protocol does not have.
     #[error("a frame has the letter 0x{0:02x}, which the protocol does not have")]
     UnknownLetter(u8),
+    /// A frame contains what starts another one, so that its stated length is too long.
+    #[error("a frame contains the start of another one")]
+    EmbeddedFrame,
     /// The line of an answer can't be parsed.
     #[error("the line of an answer is not `ID END SCORE REPORT`")]
     UnreadableAnswer,
@@ -29,6 +32,6 @@
 pub struct MalformedCounts {
     /// Connections closed.
     pub connections: u64,
-    /// Answers that were discarded, as the bytes directly behind them can't be a frame.
+    /// Answers that were discarded, as their stated length may be wrong.
     pub unconfirmed_answers: u64,
 }
--- a/src/backend/tests/malformed.rs
+++ b/src/backend/tests/malformed.rs
@@ -73,3 +73,18 @@
     let counts = fixture.backend.take_malformed();
     assert_eq!((counts.connections, counts.unconfirmed_answers), (1, 1));
 }
+
+// Guards against a value that ends in another answer: a length that is too long takes in the start of the next
+// frame, or all of it.
+#[test]
+fn answer_with_too_long_length_is_not_served() {
+    let next = frame("aq2.0 served 1 -\nother");
+    for excess in 1..=next.len() as isize {
+        let mut fixture = fixture();
+        let mut server = fixture.send_on_one_connection(2);
+        let bytes = [frame_with_wrong_length(ANSWER, excess), next.clone()].concat();
+        server.write_all(&bytes).expect("written");
+        assert_eq!(fixture.values_until_closed(), Vec::<String>::new(), "{excess} bytes too many");
+        assert_eq!(fixture.backend.withheld_outcomes.len(), 2, "{excess} bytes too many: both may have run");
+    }
+}
