Judge an answer at the read limit by the bytes that are still unread

A client would get half of a value although the bytes that show it had arrived.

Cause: a connection is read up to a limit in each turn, and an answer with too short a length that ends where the reading stopped had nothing behind it in the buffer.

Fix: where a read stopped at its limit and the socket holds more, the last frame stays until that is read. The socket is reported again at once, so nothing waits for bytes that have not come.

--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -9,7 +9,7 @@
 use socket2::SockRef;
 
 use super::frame::{Frame, MAX_FRAME_BYTES, encode};
-use super::frame_reader::FrameReader;
+use super::frame_reader::{FrameReader, TakenFrames};
 use super::liveness::DEAD_SILENCE_MULTIPLE;
 use crate::config::settings::SiteSettings;
 use crate::core::AttemptId;
@@ -17,6 +17,9 @@
 use crate::net::clock::Clock;
 use crate::net::outbox::{MAX_IO_SLICES, Outbox};
 
+/// Size of the buffer for a single read.
+pub(super) const READ_BUFFER_BYTES: usize = 16 * 1024;
+
 /// A part that was assigned to a connection and is not answered yet.
 pub(super) struct PartState {
     pub(super) attempt: AttemptId,
@@ -48,6 +51,8 @@
     pub(super) outbox: Outbox,
     /// Bytes received that are not a complete frame yet.
     pub(super) reader: FrameReader,
+    /// Whether the last read stopped at its limit, so that the socket may hold more.
+    stopped_at_limit: bool,
     /// Since when a frame has been partially received.
     pub(super) partial_since: Option<Time>,
     /// Since when a frame has been partially written without any progress.
@@ -92,6 +97,7 @@
             encoded: VecDeque::new(),
             outbox: Outbox::default(),
             reader: FrameReader::default(),
+            stopped_at_limit: false,
             partial_since: None,
             write_blocked_since: None,
             answered_written: Time(0),
@@ -270,7 +276,8 @@
 
     /// Reads what the socket has received, up to a limit.
     pub(super) fn read(&mut self, now: Time) -> io::Result<()> {
-        let mut buffer = [0; 16 * 1024];
+        self.stopped_at_limit = false;
+        let mut buffer = [0; READ_BUFFER_BYTES];
         loop {
             match self.stream.read(&mut buffer) {
                 Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
@@ -280,6 +287,7 @@
                     self.reader.push(&buffer[..read]);
                     // The poller reports the rest again after these frames are handled.
                     if self.reader.len() > MAX_FRAME_BYTES + buffer.len() {
+                        self.stopped_at_limit = true;
                         return Ok(());
                     }
                 }
@@ -290,6 +298,13 @@
         }
     }
 
+    /// Removes the complete frames that were received. The last one stays if the bytes behind it are received by
+    /// the system and not read yet: they may show that its length is wrong.
+    pub(super) fn take_frames(&mut self) -> TakenFrames {
+        let has_unread_bytes = self.stopped_at_limit && matches!(self.stream.peek(&mut [0]), Ok(1));
+        self.reader.take_frames(has_unread_bytes)
+    }
+
     /// Withdraws an attempt if nothing of its frame is written. Returns whether it did.
     pub(super) fn withdraw(&mut self, attempt: AttemptId) -> bool {
         self.requeue_unwritten();
--- a/src/backend/frame_reader.rs
+++ b/src/backend/frame_reader.rs
@@ -50,8 +50,9 @@
         self.received.is_empty()
     }
 
-    /// Removes the complete frames from the buffer.
-    pub(super) fn take_frames(&mut self) -> TakenFrames {
+    /// Removes the complete frames from the buffer. With `has_unread_bytes` the last one stays if it ends the
+    /// buffer, as what follows it is still to be read.
+    pub(super) fn take_frames(&mut self, has_unread_bytes: bool) -> TakenFrames {
         let (mut frames, mut at) = (Vec::new(), 0);
         let error = loop {
             let rest = &self.received[at..];
@@ -67,6 +68,13 @@
             }
             at += LENGTH_PREFIX_BYTES + length;
         };
+        if has_unread_bytes
+            && error.is_none()
+            && at == self.received.len()
+            && let Some(last) = frames.pop()
+        {
+            at -= LENGTH_PREFIX_BYTES + last.len();
+        }
         self.received.drain(..at);
         self.received.shrink_to(RETAINED_BUFFER_BYTES);
         let unconfirmed = if error.is_some() { frames.pop() } else { None };
--- a/src/backend/frame_reader/tests.rs
+++ b/src/backend/frame_reader/tests.rs
@@ -42,7 +42,7 @@
         };
         let mut reader = FrameReader::default();
         reader.push(&frames.iter().enumerate().flat_map(encoded).collect::<Vec<u8>>());
-        let taken = reader.take_frames();
+        let taken = reader.take_frames(false);
         // The frame in front of the wrong one may be discarded as well.
         let count = taken.frames.len();
         prop_assert!(count == wrong || (count + 1 == wrong && taken.unconfirmed.is_some()), "{taken:?}");
@@ -61,7 +61,7 @@
         for size in sizes.into_iter().cycle() {
             let (next, behind) = rest.split_at(size.min(rest.len()));
             reader.push(next);
-            let received = reader.take_frames();
+            let received = reader.take_frames(false);
             prop_assert_eq!(received.error, None);
             taken.extend(received.frames);
             rest = behind;
@@ -79,5 +79,17 @@
     let frame = b"aq.0 served 1 -\nsome\0text".to_vec();
     let mut reader = FrameReader::default();
     reader.push(&with_stated_length(&frame, frame.len()));
-    assert_eq!(reader.take_frames().frames, [frame]);
+    assert_eq!(reader.take_frames(false).frames, [frame]);
+}
+
+// The last frame waits for the bytes behind it only if there are any to be read.
+#[test]
+fn last_frame_stays_while_the_bytes_behind_it_are_unread() {
+    let frame = b"aq.0 served 1 -\nvalue".to_vec();
+    let mut reader = FrameReader::default();
+    reader.push(&[with_stated_length(&frame, frame.len()), with_stated_length(&frame, frame.len())].concat());
+    assert_eq!(reader.take_frames(true).frames, [frame.clone()]);
+    assert_eq!(reader.take_frames(true).frames.len(), 0);
+    assert_eq!(reader.take_frames(false).frames, [frame]);
+    assert!(reader.is_empty());
 }
--- a/src/backend/responses.rs
+++ b/src/backend/responses.rs
@@ -15,7 +15,7 @@
     /// closes the connection, and all parts in flight on it have failed.
     pub(super) fn handle_responses(&mut self, net: &mut Net, now: Time, key: usize) -> bool {
         let Some(connection) = self.connections.get_mut(&key) else { return true };
-        let taken = connection.reader.take_frames();
+        let taken = connection.take_frames();
         self.time_partial_frame(net, now, key, !taken.frames.is_empty());
         let handled = taken.frames.iter().try_for_each(|frame| self.handle_frame(now, key, frame));
         let Some(error) = handled.err().or(taken.error.clone()) else { return true };
--- a/src/backend/tests/malformed.rs
+++ b/src/backend/tests/malformed.rs
@@ -1,5 +1,11 @@
 //! Responses whose stated length does not fit, and other bytes that can't be a response.
 
+use std::thread;
+use std::time::Instant;
+
+use socket2::SockRef;
+
+use super::super::connection::READ_BUFFER_BYTES;
 use super::*;
 
 /// How long the poller may report nothing.
@@ -88,3 +94,39 @@
         assert_eq!(fixture.backend.withheld_outcomes.len(), 2, "{excess} bytes too many: both may have run");
     }
 }
+
+/// Waits until the only connection has received this many bytes that are not read yet.
+fn wait_until_received(fixture: &Fixture, count: usize) {
+    let connection = fixture.backend.connections.values().next().expect("one");
+    let (mut buffer, started) = (vec![0; count], Instant::now());
+    while connection.stream.peek(&mut buffer).unwrap_or(0) < count {
+        assert!(started.elapsed() < EVENT_TIMEOUT, "the bytes do not arrive");
+        thread::yield_now();
+    }
+}
+
+// Guards against an answer that is judged before the bytes behind it are read: it ends where the broker stops
+// reading in one turn, with the rest of its value still in the socket.
+#[test]
+fn answer_at_the_read_limit_is_judged_by_the_bytes_still_unread() {
+    // The first multiple of the read buffer's size that exceeds the limit.
+    const READ_IN_ONE_TURN: usize = 6 * READ_BUFFER_BYTES;
+    let mut fixture = fixture();
+    let mut server = fixture.send_on_one_connection(2);
+    let short = frame_with_wrong_length(ANSWER, -8);
+    let long_answer = |length: usize| {
+        let line = "aq2.0 served 1 -\n";
+        frame(&(line.to_owned() + &"v".repeat(length - line.len() - 4)))
+    };
+    // An answer may be repeated; the repetition is ignored.
+    let (first, rest_of_turn) = (long_answer(50_000), READ_IN_ONE_TURN + 8 - short.len() - 50_000);
+    let bytes = [first, long_answer(rest_of_turn), short].concat();
+    let connection = fixture.backend.connections.values().next().expect("one");
+    SockRef::from(&connection.stream).set_recv_buffer_size(4 * bytes.len()).expect("set");
+    let count = bytes.len();
+    let writer = thread::spawn(move || server.write_all(&bytes).map(|()| server));
+    wait_until_received(&fixture, count);
+    assert_eq!(fixture.values_until_closed().len(), 1, "only the long answer is served");
+    assert_eq!(fixture.backend.take_malformed().unconfirmed_answers, 1);
+    drop(writer.join().expect("no panic").expect("written"));
+}
