--- a/crates/handover/tests/channel.rs
+++ b/crates/handover/tests/channel.rs
@@ -205,3 +205,21 @@
     let result = channel.send(&Message::Ready, &[]);
     assert!(matches!(result, Err(ChannelError::Closed)), "{result:?}");
 }
+
+// Guards against a message that the other process did not send: the first of two states a wrong length.
+#[test]
+fn messages_of_wrong_length_are_not_received_as_others() {
+    let messages = [Message::Spending("1234567890".to_owned()), Message::Ready];
+    let [first, second] = messages.each_ref().map(encoded);
+    let json = &first[LENGTH_PREFIX_BYTES..];
+    for length in (0..first.len() + second.len()).filter(|length| *length != json.len()) {
+        let (mut channel, mut remote) = channel();
+        let bytes = [&u32::try_from(length).expect("short").to_be_bytes()[..], json, &second].concat();
+        remote.write_all(&bytes).expect("written");
+        match channel.receive() {
+            Ok(None) => assert!(length > json.len(), "{length} bytes: waits for a message that is whole"),
+            Ok(Some(received)) => panic!("{length} bytes: {received:?}"),
+            Err(error) => assert!(matches!(error, ChannelError::Malformed(_)), "{length} bytes: {error}"),
+        }
+    }
+}
--- a/src/backend/frame_reader/tests.rs
+++ b/src/backend/frame_reader/tests.rs
@@ -88,7 +88,7 @@
     let frame = b"aq.0 served 1 -\nvalue".to_vec();
     let mut reader = FrameReader::default();
     reader.push(&[with_stated_length(&frame, frame.len()), with_stated_length(&frame, frame.len())].concat());
-    assert_eq!(reader.take_frames(true).frames, [frame.clone()]);
+    assert_eq!(reader.take_frames(true).frames, std::slice::from_ref(&frame));
     assert_eq!(reader.take_frames(true).frames.len(), 0);
     assert_eq!(reader.take_frames(false).frames, [frame]);
     assert!(reader.is_empty());
