--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -973,52 +973,59 @@
 
 // ---------------------------------------------------------------- case 9
 
-fn contradicting_inventory(record: &Record, trouble: bool) -> bool {
+/// A row of an inventory: the cell and the state as the file has them.
+type Row = (String, &'static str);
+
+fn damaged_inventory(record: &Record, trouble: bool) -> bool {
     let folder = Folder::new();
     let misplaced = Arc::new(AtomicUsize::new(0));
+    let draining = Arc::new(AtomicBool::new(false));
     let addresses: Vec<SocketAddr> = (0..4_usize)
         .map(|cell| {
-            let (log, misplaced, name) = (record.clone(), misplaced.clone(), format!("tile0{cell}"));
+            let (log, misplaced, draining) = (record.clone(), misplaced.clone(), draining.clone());
+            let name = format!("tile0{cell}");
             let server = name.clone();
             let handler = move |part: &Part| {
                 let shard = part.shard as usize;
                 // A shard is held by the cell of its number and the next one.
-                if [shard % 4, (shard + 1) % 4].contains(&cell) {
-                    return Act::Serve(ms(5), value_of(part.shard, &part.text));
-                }
+                let problem = match [shard % 4, (shard + 1) % 4].contains(&cell) {
+                    false => "which it does not hold",
+                    true if cell == 3 && draining.load(SeqCst) => "while it drains",
+                    true => return Act::Serve(ms(5), value_of(part.shard, &part.text)),
+                };
                 misplaced.fetch_add(1, SeqCst);
-                log.line(&format!(
-                    "{server} (cell {cell}): got {} of tile block {shard}, which it does not hold",
-                    part.id
-                ));
+                log.line(&format!("{server}: got {} of tile block {shard}, {problem}", part.id));
                 Act::Skip
             };
             tile_server(record.clone(), name, Arc::new(handler))
         })
         .collect();
-    let a = &addresses;
-    let csv = |header: &str, row: &dyn Fn(usize) -> String| {
-        let rows: Vec<String> =
-            (0..4).map(|c| format!("tile0{c},{},{},{c},up{}\n", a[c], ["cardiff", "newport"][c % 2], row(c))).collect();
-        format!("name,address,zone,cell,state{header}\n{}", rows.concat())
+    let a = addresses.clone();
+    let csv = move |rows: [Row; 4]| {
+        let rows = rows
+            .into_iter()
+            .enumerate()
+            .map(|(n, (cell, state))| format!("tile0{n},{},{},{cell},{state}\n", a[n], ["newport", "cardiff"][n % 2]));
+        format!("name,address,zone,cell,state\n{}", rows.collect::<String>())
     };
-    let sound_csv = csv("", &|_| String::new());
-    let noted_csv = csv(",note", &|_| ",checked".into());
-    // Somebody's own numbering stands in a further column of the same name.
-    let stray_csv = csv(",cell", &|c| format!(",{}", (c + 2) % 4));
+    let row = |cell: &str, state: &'static str| (cell.to_owned(), state);
+    let sound = csv([row("0", "up"), row("1", "up"), row("2", "up"), row("3", "up")]);
+    let one_drains = csv([row("0", "up"), row("1", "up"), row("2", "up"), row("3", "draining")]);
+    let beyond = csv([row("0", "up"), row("22", "up"), row("2", "up"), row("3", "up")]);
+    let half_saved = one_drains.strip_suffix("draining\n").unwrap_or_else(|| fail("no such row")).to_owned();
+    let a = addresses;
     let yaml = |more: &str| {
+        let host = |n: usize| format!("        tile0{n}: {{ address: \"{}\", cell: {n} }}\n", a[n]);
         format!(
-            "all:\n  vars: {{ state: up }}\n  children:\n    cardiff:\n      vars: {{ zone: cardiff }}\n      hosts:\n\
-             \x20       tile00: {{ address: \"{}\", cell: 0 }}\n        tile02: {{ address: \"{}\", cell: 2 }}\n    newport:\n\
-             \x20     vars: {{ zone: newport }}\n      hosts:\n        tile01: {{ address: \"{}\", cell: 1 }}\n\
-             \x20       tile03: {{ address: \"{}\", cell: 3 }}\n{more}",
-            a[0], a[2], a[1], a[3]
+            "all:\n  vars: {{ state: up }}\n  children:\n    cardiff:\n      vars: {{ zone: cardiff }}\n      hosts:\n{}{}    \
+             newport:\n      vars: {{ zone: newport }}\n      hosts:\n{}{}{more}",
+            host(1),
+            host(3),
+            host(0),
+            host(2)
         )
     };
-    let sound_yaml = yaml("");
-    let noted_yaml = yaml("# checked\n");
-    // The host stands in the list a second time, with another ring position.
-    let double_yaml = yaml(&format!("        tile00: {{ address: \"{}\", cell: 2 }}\n", a[0]));
+    let twice = yaml(&format!("        tile01: {{ address: \"{}\", cell: 2 }}\n", a[1]));
     let settings = Settings {
         shards: 8,
         cells: 4,
@@ -1028,60 +1035,65 @@
         keyed_window_ms: 5000,
         keyed_deadline_ms: 5000,
     };
-    for (file, first, second) in [
-        ("inventory.csv", &sound_csv, if trouble { &stray_csv } else { &noted_csv }),
-        ("inventory.yaml", &sound_yaml, if trouble { &double_yaml } else { &noted_yaml }),
-    ] {
+    // What was edited, the file, its first text and the edited one; in the second one a server drains.
+    let edits = [
+        ("a ring position that does not exist", "positions.csv", &sound, &beyond),
+        ("a file saved halfway", "halfway.csv", &one_drains, &half_saved),
+        ("a host listed twice", "twice.yaml", &yaml(""), &twice),
+    ];
+    for (what, file, first, second) in edits {
+        draining.store(file == "halfway.csv", SeqCst);
         let (listen, ogc) = (free_address(), free_address());
         let write = |text: &str| {
             let beside = folder.0.join("written");
-            fs::write(&beside, text)
-                .and_then(|()| fs::rename(&beside, folder.0.join(file)))
-                .unwrap_or_else(|e| fail(&e.to_string()));
+            let moved = fs::write(&beside, text).and_then(|()| fs::rename(&beside, folder.0.join(file)));
+            moved.unwrap_or_else(|e| fail(&e.to_string()))
         };
         write(first);
         let ogc_file = folder.0.join("ogc.yaml");
         let text = format!(
             "listen: \"{ogc}\"\ninventory: \"{file}\"\nnamespace: {{ prefix: tcm, uri: \"urn:t\" }}\n\
-             crs: \"urn:ogc:def:crs:EPSG::27700\"\ncount: 100\nfeature_types:\n  - name: parcel\n    title: Land parcels\n\
-             \x20   class: parcel-search\n    grid: {{ extent: [0, 0, 4000, 2000], columns: 4, rows: 2 }}\n"
+             crs: \"urn:ogc:def:crs:EPSG::27700\"\ncount: 100\nfeature_types:\n  - name: parcel\n    title: Land parcels\n    \
+             class: parcel-search\n    grid: {{ extent: [0, 0, 4000, 2000], columns: 4, rows: 2 }}\n"
         );
         fs::write(&ogc_file, text).unwrap_or_else(|e| fail(&e.to_string()));
         let config = format!(
             "{{\"seed\":\"{}\",\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\"settings\":{}}}",
             seed(),
-            settings.json()
+            settings.json().replace("\"coldNs\":17000000000", "\"coldNs\":7000000000")
         );
         let more = [("BALANCER_OGC", ogc_file.display().to_string())];
         let mut broker = Broker::start(&folder.0, file, &config, listen, None, None, &more);
         broker.wait_until_ready(listen, "/up");
-        for phase in ["the first list", "the edited list"] {
-            if phase == "the edited list" {
-                record.line(&format!("{file} is replaced:\n{second}"));
-                write(second);
-                sleep(ms(2000));
+        for edited in [false, true] {
+            if edited {
+                // Without the disruption the file is written anew as it was.
+                let text = if trouble { second } else { first };
+                record.line(&format!("{file} is replaced:\n{text}"));
+                write(text);
+                // A server that counts as up again counts as cold at first.
+                sleep(ms(if file == "halfway.csv" { 8000 } else { 2000 }));
             }
             let before = misplaced.load(SeqCst);
             let mut statuses: HashMap<u16, usize> = HashMap::new();
-            for n in 0..40_u32 {
-                let target = format!(
-                    "/wfs?SERVICE=WFS&VERSION=2.0.2&REQUEST=GetFeature&TYPENAMES=tcm:parcel&RESOURCEID=parcel.{}",
-                    n % 8
-                );
-                let page =
-                    call(ogc, &format!("GET {target} HTTP/1.1\r\nHost: b\r\nConnection: close\r\n\r\n"), ms(6500));
-                let status = page.map_or(0, |(status, _)| status);
-                record.line(&format!("client: page with parcel.{} answered {status}", n % 8));
+            // One page for each two tile blocks, and so with keys of their own.
+            for (one, other) in (0..8).flat_map(|one| (0..8).map(move |other| (one, other))) {
+                let target = "/wfs?SERVICE=WFS&VERSION=2.0.2&REQUEST=GetFeature&TYPENAMES=tcm:parcel&RESOURCEID=";
+                let request =
+                    format!("GET {target}parcel.{one},parcel.{other} HTTP/1.1\r\nHost: b\r\nConnection: close\r\n\r\n");
+                let status = call(ogc, &request, ms(6500)).map_or(0, |(status, _)| status);
+                record.line(&format!("client: page with parcel.{one} and parcel.{other} answered {status}"));
                 *statuses.entry(status).or_default() += 1;
             }
             record.say(&format!(
-                "{file}, {phase}: 40 pages by status {statuses:?}, {} parts at servers that do not hold their tile block",
+                "{what}, {}: 64 pages by status {statuses:?}, {} parts at servers that must not get them",
+                if edited { "after the edit" } else { "before" },
                 misplaced.load(SeqCst) - before
             ));
         }
-        let log = fs::read_to_string(folder.0.join(format!("{file}.log"))).unwrap_or_default();
-        log.lines().filter(|l| l.contains("inventory") || l.contains("servers:")).take(6).for_each(|l| record.line(l));
         drop(broker);
+        let log = fs::read_to_string(folder.0.join(format!("{file}.log"))).unwrap_or_default();
+        log.lines().filter(|l| l.contains("servers:") || l.contains("warning")).take(8).for_each(|l| record.line(l));
     }
     misplaced.load(SeqCst) > 0
 }
@@ -1165,7 +1177,7 @@
         "7" => upgrade_with_few_descriptors(&record, trouble),
         "8" => slow_discovery(&record, trouble),
         "10" => short_length_in_pieces(&record, trouble),
-        "9" => contradicting_inventory(&record, trouble),
+        "9" => damaged_inventory(&record, trouble),
         _ => fail("no such case"),
     };
     record.say(if broken { "RULE BROKEN" } else { "the rule held" });
