--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -62,11 +62,20 @@
 
 // ---------------------------------------------------------------- discovery
 
-/// Discovery, or its agent on the broker's machine: it gives the whole list, keeps watches open, and sends an empty
-/// line each 2 s.
+/// What discovery has.
+struct List {
+    version: u64,
+    /// The entries of the whole list.
+    entries: String,
+    /// The entries that changed since the version before.
+    changes: String,
+}
+
+/// Discovery, or its agent on the broker's machine: it answers a call with the whole list, keeps watches open, sends
+/// what changes, and an empty line each 2 s.
 struct Agent {
     address: SocketAddr,
-    list: Arc<Mutex<(u64, String)>>,
+    list: Arc<Mutex<List>>,
 }
 
 impl Agent {
@@ -78,7 +87,7 @@
     fn answering_after(endpoints: String, delay: Duration, record: Option<Record>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| fail(&e.to_string()));
         let address = listener.local_addr().unwrap();
-        let list = Arc::new(Mutex::new((1, endpoints)));
+        let list = Arc::new(Mutex::new(List { version: 1, entries: endpoints, changes: String::new() }));
         let shared = list.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -90,12 +99,7 @@
     }
 }
 
-fn serve_list(
-    mut stream: TcpStream,
-    list: &Mutex<(u64, String)>,
-    delay: Duration,
-    record: Option<&Record>,
-) -> io::Result<()> {
+fn serve_list(mut stream: TcpStream, list: &Mutex<List>, delay: Duration, record: Option<&Record>) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let (mut bytes, mut buffer) = (Vec::new(), [0; 4096]);
     while !bytes.windows(4).any(|w| w == b"\r\n\r\n") {
@@ -114,21 +118,26 @@
         return Ok(());
     }
     log("discovery: the call is answered");
-    let body =
-        |list: &(u64, String)| format!("{{\"index\":{},\"snapshot\":true,\"endpoints\":[{}]}}\n", list.0, list.1);
+    let body = |version: u64, whole: bool, entries: &str| {
+        format!("{{\"index\":{version},\"snapshot\":{whole},\"endpoints\":[{entries}]}}\n")
+    };
+    let (mut sent, whole) = {
+        let list = list.lock().unwrap();
+        (list.version, body(list.version, true, &list.entries))
+    };
     if !String::from_utf8_lossy(&bytes).contains("stream=1") {
-        let text = body(&list.lock().unwrap());
-        return write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+        return write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{whole}", whole.len());
     }
     write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
-    let (mut sent, mut last) = (0, Instant::now());
+    write!(stream, "{:x}\r\n{whole}\r\n", whole.len())?;
+    let mut last = Instant::now();
     loop {
         let text = {
             let list = list.lock().unwrap();
-            if list.0 == sent { String::new() } else { body(&list) }
+            let changed = list.version != std::mem::replace(&mut sent, list.version);
+            changed.then(|| body(list.version, false, &list.changes))
         };
-        if !text.is_empty() {
-            sent = list.lock().unwrap().0;
+        if let Some(text) = text {
             write!(stream, "{:x}\r\n{text}\r\n", text.len())?;
             last = Instant::now();
         } else if last.elapsed() >= ms(1900) {
@@ -236,12 +245,13 @@
                             });
                         }
                         Act::Skip => {
+                            record.line(&format!("{name}: {} turned away", part.id));
                             let answer = frame(&format!("a{} skipped 0 -\n", part.id));
                             writer.lock().unwrap().write_all(&answer)?;
                         }
-                        Act::Swallow => {}
+                        Act::Swallow => record.line(&format!("{name}: {} taken and not answered", part.id)),
                         Act::Reset => {
-                            // With unread bytes or not: the proxy in front turns the end into a reset.
+                            record.line(&format!("{name}: {} ends with its connection", part.id));
                             return stream.shutdown(std::net::Shutdown::Both);
                         }
                     }
@@ -445,7 +455,9 @@
 
 impl Folder {
     fn new() -> Self {
-        let folder = std::env::temp_dir().join(format!("bgr2-{}", std::process::id()));
+        // The processes of a broker meet on a Unix socket in it, whose path may have some 100 bytes.
+        let short = Some(std::env::temp_dir()).filter(|folder| folder.as_os_str().len() <= 40);
+        let folder = short.unwrap_or_else(|| "/tmp".into()).join(format!("bgr2-{}", std::process::id()));
         fs::create_dir_all(&folder).unwrap_or_else(|e| fail(&e.to_string()));
         Folder(folder)
     }
@@ -675,7 +687,7 @@
     };
     let agent = Agent::start(endpoints.join(","));
     let listen = free_address();
-    let known = format!("{{\"index\":1,\"snapshot\":true,\"endpoints\":[{}]}}", agent.list.lock().unwrap().1);
+    let known = format!("{{\"index\":1,\"snapshot\":true,\"endpoints\":[{}]}}", agent.list.lock().unwrap().entries);
     let config = format!(
         "{{\"seed\":\"{}\",\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\"known\":{known},\"settings\":{}}}",
         seed(),
@@ -734,9 +746,9 @@
     let mut endpoints = Vec::new();
     for cell in 0..12 {
         let name = format!("tile{cell}");
-        // Two neighbours take parts and answer none; the others take 0.4 s, half of it waiting.
+        // With the disruption two neighbours take parts and answer none; the others take 0.4 s, half of it waiting.
         let handler = move |part: &Part| match cell {
-            10 | 11 => Act::Swallow,
+            10 | 11 if trouble => Act::Swallow,
             _ => Act::Serve(ms(400), value_of(part.shard, &part.text)),
         };
         let address = tile_server(record.clone(), name.clone(), Arc::new(handler));
@@ -753,7 +765,7 @@
     };
     let agent = Agent::start(endpoints.join(","));
     let listen = free_address();
-    let known = format!("{{\"index\":1,\"snapshot\":true,\"endpoints\":[{}]}}", agent.list.lock().unwrap().1);
+    let known = format!("{{\"index\":1,\"snapshot\":true,\"endpoints\":[{}]}}", agent.list.lock().unwrap().entries);
     let config = || {
         format!(
             "{{\"seed\":\"{}\",\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":256}},\"known\":{known},\"settings\":{}}}",
@@ -845,7 +857,7 @@
         }));
     }
     sleep(ms(3000));
-    // A query for a tile block whose holders both hang is open when the old process is told to end.
+    // A query for a tile block whose holders both hang (with the disruption) is open when the old process is told to end.
     let log = record.clone();
     let hung =
         thread::spawn(move || ask(&log, listen, query("parcel-search", &[7, 8, 9, 10], 6000, None, "s"), ms(6500)));
@@ -961,7 +973,8 @@
     sleep(ms(4000));
     record.line("discovery's list no longer names tile0");
     *removed_at.lock().unwrap() = Some(record.now());
-    *discovery.list.lock().unwrap() = (2, endpoints(true));
+    let gone = endpoint("tile0", servers[0].1, "cardiff", 0).replace("\"up\"", "\"removed\"");
+    *discovery.list.lock().unwrap() = List { version: 2, entries: endpoints(true), changes: gone };
     sleep(ms(16_000));
     stop.store(true, SeqCst);
     clients.into_iter().for_each(|client| drop(client.join()));
@@ -1086,6 +1099,7 @@
                 let target = "/wfs?SERVICE=WFS&VERSION=2.0.2&REQUEST=GetFeature&TYPENAMES=tcm:parcel&RESOURCEID=";
                 let request =
                     format!("GET {target}parcel.{one},parcel.{other} HTTP/1.1\r\nHost: b\r\nConnection: close\r\n\r\n");
+                record.line(&format!("client: page with parcel.{one} and parcel.{other} sent"));
                 let status = call(ogc, &request, ms(6500)).map_or(0, |(status, _)| status);
                 record.line(&format!("client: page with parcel.{one} and parcel.{other} answered {status}"));
                 *statuses.entry(status).or_default() += 1;
@@ -1141,7 +1155,7 @@
     };
     let agent = Agent::start(endpoints.join(","));
     let listen = free_address();
-    let known = format!("{{\"index\":1,\"snapshot\":true,\"endpoints\":[{}]}}", agent.list.lock().unwrap().1);
+    let known = format!("{{\"index\":1,\"snapshot\":true,\"endpoints\":[{}]}}", agent.list.lock().unwrap().entries);
     let config = format!(
         "{{\"seed\":\"{}\",\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\"known\":{known},\"settings\":{}}}",
         seed(),
